Serve a request end to end by separate processes

Cause: nothing stood yet. The thin path fixes the seams that every later part is built on: peer messages, decision types, the store interface, the manifest and the result codes.

Ruled out: a stub path in one process.

--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,210 @@
+// Package agent is the process beside one target. All traffic to the target
+// passes through it: it queues, admits and counts the work, buffers token
+// streams so that a lost entry or link loses nothing, and gives the target its
+// orders. It is embeddable; cmd/quetzalglade-agent only wires it.
+package agent
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/quetzalglade/quetzalglade/config"
+	"github.com/quetzalglade/quetzalglade/configsync"
+	"github.com/quetzalglade/quetzalglade/decision"
+	"github.com/quetzalglade/quetzalglade/internal/httpserve"
+	"github.com/quetzalglade/quetzalglade/peer"
+	"github.com/quetzalglade/quetzalglade/platform"
+	"github.com/quetzalglade/quetzalglade/target"
+	"github.com/quetzalglade/quetzalglade/telemetry"
+)
+
+// Options configure an Agent. VM, Listener, Keys and one of EngineURL and
+// PlainURL are required.
+type Options struct {
+	VM         string
+	Datacentre string
+	Region     string
+	// Role is the role that plain services select their targets by.
+	Role string
+	// Listener accepts the messages of other processes.
+	Listener net.Listener
+	// EngineURL or PlainURL is the target's address.
+	EngineURL string
+	PlainURL  string
+	Keys      peer.Keys
+	// Store holds the configuration; nil leaves the agent without one.
+	Store  platform.Store
+	Logger log.Logger
+	// Limits bound the target's work.
+	Limits decision.QueueLimits
+	// DrainLimit bounds the wait for running work at a stop.
+	DrainLimit time.Duration
+}
+
+// Agent serves one target.
+type Agent struct {
+	opts        Options
+	incarnation string
+	engine      *target.Engine
+	plain       *target.Plain
+	recorder    *telemetry.Recorder
+	metrics     *telemetry.Metrics
+	config      *configsync.Follower
+	control     *control
+	generations *table
+	state       atomic.Pointer[peer.State]
+	work        sync.WaitGroup
+	// base is the context of work at the target; it outlives requests.
+	base   context.Context
+	cancel context.CancelFunc
+}
+
+// Sizes and periods of an agent.
+const (
+	decisionRing       = 4096
+	incarnationBytes   = 6
+	defaultSlots       = 64
+	defaultQueueLength = 1024
+	defaultDrainLimit  = 30 * time.Minute
+)
+
+// New returns an agent; Serve runs it.
+func New(opts Options) (*Agent, error) {
+	if err := opts.check(); err != nil {
+		return nil, err
+	}
+	metrics, err := telemetry.NewMetrics("quetzalglade_agent")
+	if err != nil {
+		return nil, err
+	}
+	a := &Agent{
+		opts:        opts,
+		incarnation: newIncarnation(),
+		recorder:    telemetry.NewRecorder(opts.Logger, decisionRing),
+		metrics:     metrics,
+		generations: newTable(),
+	}
+	a.base, a.cancel = context.WithCancel(context.Background())
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: opts.Limits.Slots}}
+	if opts.EngineURL != "" {
+		a.engine = target.NewEngine(opts.EngineURL, client)
+	} else {
+		a.plain = target.NewPlain(opts.PlainURL, client)
+	}
+	if opts.Store != nil {
+		a.config = configsync.New(configsync.Options{Store: opts.Store, Logger: opts.Logger})
+	}
+	a.control = newControl(a)
+	return a, nil
+}
+
+func (o *Options) check() error {
+	if o.VM == "" || o.Listener == nil || len(o.Keys) == 0 {
+		return errors.New("agent: VM, listener and keys are required")
+	}
+	if (o.EngineURL == "") == (o.PlainURL == "") {
+		return errors.New("agent: exactly one of engine and plain service is required")
+	}
+	if o.Logger == nil {
+		o.Logger = log.NewNopLogger()
+	}
+	if o.Limits.Slots == 0 {
+		o.Limits.Slots = defaultSlots
+	}
+	if o.Limits.Length == 0 {
+		o.Limits.Length = defaultQueueLength
+	}
+	if o.DrainLimit == 0 {
+		o.DrainLimit = defaultDrainLimit
+	}
+	return nil
+}
+
+func newIncarnation() string {
+	raw := make([]byte, incarnationBytes)
+	// crypto/rand.Read never fails on supported systems.
+	_, _ = rand.Read(raw)
+	return hex.EncodeToString(raw)
+}
+
+// Serve runs the agent until ctx ends, then drains: new work is refused at
+// once, running work is finished.
+func (a *Agent) Serve(ctx context.Context) error {
+	defer a.cancel()
+	core := suture.New("agent", suture.Spec{EventHook: a.logEvent, Timeout: a.opts.DrainLimit})
+	core.Add(a.control)
+	if a.engine != nil {
+		core.Add(&engineProbe{agent: a})
+	}
+	if a.config != nil {
+		core.Add(a.config)
+	}
+	core.Add(httpserve.New("agent peers", a.opts.Listener, a.handler(), a.opts.DrainLimit))
+	coreCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	done := core.ServeBackground(coreCtx)
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+	}
+	a.drain()
+	stop()
+	return ignoreCancel(<-done)
+}
+
+// ignoreCancel drops the error of an orderly stop.
+func ignoreCancel(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// drain refuses new work and waits for running work and its delivery.
+func (a *Agent) drain() {
+	a.setDraining(true, "stop")
+	idle := make(chan struct{})
+	go func() {
+		a.work.Wait()
+		close(idle)
+	}()
+	select {
+	case <-idle:
+	case <-time.After(a.opts.DrainLimit):
+		telemetry.Warn(a.opts.Logger, "drain limit reached with work in progress")
+	}
+}
+
+func (a *Agent) setDraining(on bool, reason string) {
+	a.control.do(func(s *state) { s.draining = on })
+	choice := "accept new work"
+	if on {
+		choice = "refuse new work"
+	}
+	a.recorder.Record(telemetry.Decision{Kind: telemetry.KindDrain, Target: a.opts.VM, Choice: choice, Reason: reason})
+}
+
+// State returns what the agent tells other processes of itself.
+func (a *Agent) State() peer.State { return *a.state.Load() }
+
+func (a *Agent) configuration() *config.Config {
+	if a.config == nil {
+		return nil
+	}
+	return a.config.Current()
+}
+
+func (a *Agent) logEvent(e suture.Event) {
+	telemetry.Warn(a.opts.Logger, "supervisor event", "event", e.String())
+}
--- /dev/null
+++ b/agent/settings.go
@@ -0,0 +1,66 @@
+package agent
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+
+	"github.com/quetzalglade/quetzalglade/decision"
+	"github.com/quetzalglade/quetzalglade/peer"
+	"github.com/quetzalglade/quetzalglade/platform"
+)
+
+// Settings are the INI settings of an agent process.
+type Settings struct {
+	Process struct {
+		VM         string        `ini:"vm" help:"name of this VM in the platform's list"`
+		Listen     string        `ini:"listen" help:"ip:port for other processes"`
+		Datacentre string        `ini:"datacentre" help:"data centre of this VM"`
+		Region     string        `ini:"region" help:"region of this VM"`
+		Keys       []string      `ini:"keys" help:"shared keys of the fleet; the first is sent, all are accepted"`
+		DrainLimit time.Duration `ini:"drain_limit" help:"longest wait for running work at a stop"`
+	} `ini:"process"`
+	Target struct {
+		Engine string `ini:"engine" help:"URL of the model engine; this or plain"`
+		Plain  string `ini:"plain" help:"URL of the plain service; this or engine"`
+		Role   string `ini:"role" help:"role that plain services select their targets by"`
+		Slots  int    `ini:"slots" help:"requests in progress at the target"`
+		Queue  int    `ini:"queue" help:"requests that wait at most"`
+	} `ini:"target"`
+	Platform struct {
+		Store        string        `ini:"store" help:"URL of the key-value service"`
+		StoreTimeout time.Duration `ini:"store_timeout" help:"limit of one call to the key-value service"`
+	} `ini:"platform"`
+}
+
+// DefaultSettings returns the settings that a file starts from.
+func DefaultSettings() Settings {
+	var s Settings
+	s.Process.Listen = "127.0.0.1:8081"
+	s.Process.DrainLimit = defaultDrainLimit
+	s.Target.Slots = defaultSlots
+	s.Target.Queue = defaultQueueLength
+	s.Platform.StoreTimeout = 2 * time.Second
+	return s
+}
+
+// Options opens the listener and builds the options of an agent.
+func (s *Settings) Options(logger log.Logger) (Options, error) {
+	if s.Platform.Store == "" {
+		return Options{}, errors.New("[platform] store is required")
+	}
+	listener, err := net.Listen("tcp", s.Process.Listen)
+	if err != nil {
+		return Options{}, errors.Wrap(err, "listen")
+	}
+	return Options{
+		VM: s.Process.VM, Datacentre: s.Process.Datacentre, Region: s.Process.Region, Role: s.Target.Role,
+		Listener: listener, EngineURL: s.Target.Engine, PlainURL: s.Target.Plain, Keys: peer.Keys(s.Process.Keys),
+		Store:  platform.NewGateway(s.Platform.Store, &http.Client{}, s.Platform.StoreTimeout),
+		Logger: logger, Limits: decision.QueueLimits{Slots: s.Target.Slots, Length: s.Target.Queue},
+		DrainLimit: s.Process.DrainLimit,
+	}, nil
+}
--- /dev/null
+++ b/agent/table.go
@@ -0,0 +1,47 @@
+package agent
+
+import (
+	"sync"
+	"time"
+)
+
+// table finds generations by id for traffic goroutines.
+type table struct {
+	mu   sync.Mutex
+	byID map[string]*generation
+}
+
+func newTable() *table { return &table{byID: map[string]*generation{}} }
+
+// put adds a generation. It returns the one already held under the id, if any.
+func (t *table) put(g *generation) (held *generation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if old, ok := t.byID[g.id]; ok {
+		return old
+	}
+	t.byID[g.id] = g
+	return nil
+}
+
+// get returns the workspace's generation, or nil.
+func (t *table) get(id, workspace string) *generation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	g := t.byID[id]
+	if g == nil || g.workspace != workspace {
+		return nil
+	}
+	return g
+}
+
+func (t *table) remove(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.byID, id)
+}
+
+// retain keeps an ended generation for late listeners, then drops it.
+func (a *Agent) retain(g *generation, grace time.Duration) {
+	time.AfterFunc(grace, func() { a.generations.remove(g.id) })
+}
--- /dev/null
+++ b/entry/call.go
@@ -0,0 +1,205 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalglade/quetzalglade/caller"
+	"github.com/quetzalglade/quetzalglade/claim"
+	"github.com/quetzalglade/quetzalglade/config"
+	"github.com/quetzalglade/quetzalglade/decision"
+	"github.com/quetzalglade/quetzalglade/membership"
+	"github.com/quetzalglade/quetzalglade/peer"
+	"github.com/quetzalglade/quetzalglade/result"
+	"github.com/quetzalglade/quetzalglade/telemetry"
+)
+
+// call is a caller's call to a plain service in progress.
+type call struct {
+	*request
+	entry      *Entry
+	message    peer.Call
+	idempotent bool
+}
+
+// settleTimeout bounds the write of an outcome after the call.
+const settleTimeout = 5 * time.Second
+
+func (e *Entry) handleCall(w http.ResponseWriter, r *http.Request) {
+	req, refusal := e.authenticate(r)
+	if refusal != nil {
+		result.Write(w, refusal)
+		return
+	}
+	w.Header().Set(caller.HeaderRequestID, req.id)
+	reply, failure := e.call(w, r, req)
+	if failure != nil {
+		e.recordRefusal(req, failure)
+		result.Write(w, failure)
+		return
+	}
+	for k, v := range reply.Header {
+		w.Header().Set(k, v)
+	}
+	w.WriteHeader(reply.Status)
+	_, _ = w.Write(reply.Body)
+}
+
+func (e *Entry) call(w http.ResponseWriter, r *http.Request, req *request) (*peer.Reply, *result.Error) {
+	if refusal := req.choose(r.PathValue("service"), config.KindPlain); refusal != nil {
+		return nil, refusal
+	}
+	c := &call{request: req, entry: e, idempotent: slices.Contains(req.service.IdempotentMethods, r.Method)}
+	if !c.idempotent && !slices.Contains(req.service.OnceMethods, r.Method) {
+		return nil, result.New(result.MethodNotDeclared, result.RanNo, "the service does not declare %s", r.Method)
+	}
+	body, refusal := caller.ReadBody(w, r, req.service.MaxBody)
+	if refusal != nil {
+		return nil, refusal
+	}
+	c.message = peer.Call{
+		Request: req.id, Workspace: req.workspace.Name, Service: req.service.Name,
+		Priority: req.service.Priority, Weight: req.workspace.Weight,
+		Method: r.Method, Path: servicePath(r), Header: forwarded(r), Body: body, Idempotent: c.idempotent,
+		QueueMillis: req.service.QueueMillis, TimeoutMillis: req.service.TimeoutMillis, ConfigVersion: req.config.Version,
+	}
+	if c.idempotent {
+		return c.run(r.Context())
+	}
+	key := r.Header.Get(caller.HeaderIdempotencyKey)
+	if key == "" {
+		return nil, result.New(result.KeyRequired, result.RanNo, "this call needs an Idempotency-Key")
+	}
+	return c.runOnce(r.Context(), key)
+}
+
+func servicePath(r *http.Request) string {
+	path := "/" + r.PathValue("path")
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return path
+}
+
+// forwarded returns the headers that a plain service gets.
+func forwarded(r *http.Request) map[string]string {
+	h := map[string]string{}
+	for _, name := range []string{"Content-Type", "Accept"} {
+		if v := r.Header.Get(name); v != "" {
+			h[name] = v
+		}
+	}
+	return h
+}
+
+// runOnce claims the caller's key, then makes the call. Without a claim
+// nothing is dispatched.
+func (c *call) runOnce(ctx context.Context, key string) (*peer.Reply, *result.Error) {
+	held, err := c.entry.claims.Acquire(ctx, claim.Key{
+		Workspace: c.workspace.Name, Service: c.service.Name, Value: key,
+		Fingerprint: fingerprint(c.message.Method, c.message.Path, string(c.message.Body)),
+	}, time.Now())
+	if err != nil {
+		return nil, result.New(result.StoreUnavailable, result.RanNo, "the claim could not be written").RetryAfter(retryNoTarget)
+	}
+	c.recordClaim(held)
+	switch held.Status {
+	case claim.Settled:
+		return &peer.Reply{Status: held.Outcome.Status, Header: held.Outcome.Header, Body: held.Outcome.Body}, nil
+	case claim.Held:
+		return nil, result.New(result.OutcomeUnknown, result.RanUnknown, "a call with this key is in progress or its outcome is unknown").RetryAfter(retryNoTarget)
+	case claim.Mismatch:
+		return nil, result.New(result.KeyReused, result.RanNo, "the key was used with other content")
+	}
+	// The claim is held: from here on the caller's departure changes nothing.
+	reply, failure := c.run(context.WithoutCancel(ctx))
+	c.settle(held, reply, failure)
+	return reply, failure
+}
+
+func (c *call) settle(held *claim.Claim, reply *peer.Reply, failure *result.Error) {
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	var err error
+	switch {
+	case failure == nil:
+		err = c.entry.claims.Settle(ctx, held, claim.Outcome{Status: reply.Status, Header: reply.Header, Body: reply.Body})
+	case failure.Ran == result.RanNo:
+		err = c.entry.claims.Release(ctx, held)
+	}
+	if err != nil {
+		telemetry.Warn(c.entry.opts.Logger, "claim not settled", "request", c.id, "err", err)
+	}
+}
+
+func (c *call) recordClaim(held *claim.Claim) {
+	names := map[claim.Status]string{claim.Won: "won", claim.Held: "held", claim.Settled: "settled", claim.Mismatch: "mismatch"}
+	c.entry.recorder.Record(telemetry.Decision{
+		Kind: telemetry.KindClaim, Request: c.id, Workspace: c.workspace.Name, Service: c.service.Name,
+		Choice: "claim", Reason: names[held.Status], Version: c.config.Version,
+	})
+}
+
+// run tries targets. A call that may have begun is repeated only if it is
+// idempotent.
+func (c *call) run(ctx context.Context) (*peer.Reply, *result.Error) {
+	tried := map[string]bool{}
+	var failure *result.Error
+	for range maxAttempts {
+		m, refusal := c.entry.route(c.request, decision.Work{Workspace: c.workspace.Name, Service: c.service.Name, Priority: c.service.Priority}, tried)
+		if refusal != nil {
+			if failure != nil {
+				return nil, failure
+			}
+			return nil, refusal
+		}
+		var reply *peer.Reply
+		reply, failure = c.attempt(ctx, m)
+		if failure == nil {
+			return reply, nil
+		}
+		if ctx.Err() != nil || (!c.idempotent && failure.Ran != result.RanNo) {
+			return nil, failure
+		}
+		tried[m.VM.Name] = true
+		c.entry.recordRetry(c.request, m, failure)
+	}
+	return nil, failure
+}
+
+func (c *call) attempt(ctx context.Context, m *membership.Member) (*peer.Reply, *result.Error) {
+	defer c.entry.done(m.VM.Name)
+	msg := c.message
+	msg.ID = newID("call-")
+	msg.Incarnation = m.State.Incarnation
+	limit, cancel := context.WithTimeout(ctx, c.service.QueueLimit()+c.service.Timeout())
+	defer cancel()
+	reply, err := c.entry.peers.Call(limit, m.VM.Addr, &msg)
+	var refusal *result.Error
+	switch {
+	case err == nil && reply.ID != msg.ID:
+		return nil, result.New(result.OutcomeUnknown, result.RanUnknown, "the reply belongs to another call")
+	case err == nil && reply.Error != nil:
+		return nil, reply.Error
+	case err == nil:
+		return reply, nil
+	case errors.As(err, &refusal):
+		return nil, refusal
+	}
+	return nil, c.afterBreak(m, &msg)
+}
+
+// afterBreak asks the agent whether a call whose reply was lost had begun.
+func (c *call) afterBreak(m *membership.Member, msg *peer.Call) *result.Error {
+	ctx, cancel := context.WithTimeout(context.Background(), revokeTimeout)
+	defer cancel()
+	revoked, err := c.entry.peers.Revoke(ctx, m.VM.Addr, peer.Revoke{ID: msg.ID, Incarnation: msg.Incarnation})
+	if err == nil && revoked.ID == msg.ID && !revoked.Began {
+		return result.New(result.AttemptRevoked, result.RanNo, "the call was withdrawn before it began")
+	}
+	return result.New(result.OutcomeUnknown, result.RanUnknown, "the target did not answer")
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,195 @@
+// Package entry is the process on the entry VMs, behind the platform's
+// balancer. It takes callers' requests, chooses targets and relays answers. It
+// keeps nothing that cannot be lost. It is embeddable;
+// cmd/quetzalglade-entry only wires it.
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/quetzalglade/quetzalglade/claim"
+	"github.com/quetzalglade/quetzalglade/configsync"
+	"github.com/quetzalglade/quetzalglade/decision"
+	"github.com/quetzalglade/quetzalglade/internal/httpserve"
+	"github.com/quetzalglade/quetzalglade/membership"
+	"github.com/quetzalglade/quetzalglade/peer"
+	"github.com/quetzalglade/quetzalglade/platform"
+	"github.com/quetzalglade/quetzalglade/telemetry"
+)
+
+// Options configure an Entry. VM, Listener, Keys, Store and List are required.
+type Options struct {
+	VM         string
+	Datacentre string
+	Region     string
+	// Listener accepts callers and other processes.
+	Listener net.Listener
+	Keys     peer.Keys
+	Store    platform.Store
+	List     membership.Lister
+	Logger   log.Logger
+	// Policy selects the routing policy, least_work if empty.
+	Policy decision.Policy
+	// BalancerGrace is how long a stopping entry still accepts requests, so
+	// that the balancer notices its readiness.
+	BalancerGrace time.Duration
+	// DrainLimit bounds the wait for answers in progress at a stop.
+	DrainLimit time.Duration
+}
+
+// Entry serves callers.
+type Entry struct {
+	opts     Options
+	recorder *telemetry.Recorder
+	metrics  *telemetry.Metrics
+	config   *configsync.Follower
+	members  *membership.Tracker
+	peers    *peer.Client
+	claims   *claim.Registry
+	stopping atomic.Bool
+
+	routeMu sync.Mutex
+	router  *decision.Router
+	// sent counts the requests in progress by target VM.
+	sent map[string]int
+}
+
+// Sizes and periods of an entry.
+const (
+	decisionRing         = 8192
+	defaultBalancerGrace = 2 * time.Second
+	defaultDrainLimit    = 30 * time.Minute
+	peerConnsPerHost     = 256
+)
+
+// New returns an entry; Serve runs it.
+func New(opts Options) (*Entry, error) {
+	if err := opts.check(); err != nil {
+		return nil, err
+	}
+	metrics, err := telemetry.NewMetrics("quetzalglade_entry")
+	if err != nil {
+		return nil, err
+	}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: peerConnsPerHost}}
+	peers := peer.NewClient(client, opts.Keys)
+	return &Entry{
+		opts:     opts,
+		recorder: telemetry.NewRecorder(opts.Logger, decisionRing),
+		metrics:  metrics,
+		config:   configsync.New(configsync.Options{Store: opts.Store, Logger: opts.Logger}),
+		members:  membership.New(membership.Options{List: opts.List, Peers: peers, Logger: opts.Logger}),
+		peers:    peers,
+		claims:   claim.NewRegistry(opts.Store),
+		router:   decision.NewRouter(opts.Policy, opts.Datacentre, opts.Region),
+		sent:     map[string]int{},
+	}, nil
+}
+
+func (o *Options) check() error {
+	if o.VM == "" || o.Listener == nil || len(o.Keys) == 0 || o.Store == nil || o.List == nil {
+		return errors.New("entry: VM, listener, keys, store and VM list are required")
+	}
+	if o.Logger == nil {
+		o.Logger = log.NewNopLogger()
+	}
+	if o.Policy == "" {
+		o.Policy = decision.PolicyLeastWork
+	}
+	if o.BalancerGrace == 0 {
+		o.BalancerGrace = defaultBalancerGrace
+	}
+	if o.DrainLimit == 0 {
+		o.DrainLimit = defaultDrainLimit
+	}
+	return nil
+}
+
+// Serve runs the entry until ctx ends, then stops gracefully: readiness fails,
+// requests are accepted for the balancer's grace, answers in progress are
+// finished.
+func (e *Entry) Serve(ctx context.Context) error {
+	core := suture.New("entry", suture.Spec{EventHook: e.logEvent, Timeout: e.opts.DrainLimit})
+	core.Add(e.config)
+	core.Add(e.members)
+	front := suture.New("entry callers", suture.Spec{EventHook: e.logEvent, Timeout: e.opts.DrainLimit})
+	front.Add(httpserve.New("entry callers", e.opts.Listener, e.handler(), e.opts.DrainLimit))
+	detached := context.WithoutCancel(ctx)
+	coreCtx, stopCore := context.WithCancel(detached)
+	defer stopCore()
+	frontCtx, stopFront := context.WithCancel(detached)
+	defer stopFront()
+	coreDone := core.ServeBackground(coreCtx)
+	frontDone := front.ServeBackground(frontCtx)
+	select {
+	case err := <-frontDone:
+		return err
+	case <-ctx.Done():
+	}
+	e.stopping.Store(true)
+	time.Sleep(e.opts.BalancerGrace)
+	stopFront()
+	err := <-frontDone
+	stopCore()
+	return ignoreCancel(errors.CombineErrors(err, <-coreDone))
+}
+
+// ignoreCancel drops the error of an orderly stop.
+func ignoreCancel(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// Ready reports whether the entry can serve: it has a configuration, has seen
+// the VM list and is not stopping.
+func (e *Entry) Ready() bool {
+	return !e.stopping.Load() && e.config.Current() != nil && len(e.members.View().Members) > 0
+}
+
+// Version returns the configuration version in force here, 0 before the first.
+func (e *Entry) Version() int64 {
+	cfg := e.config.Current()
+	if cfg == nil {
+		return 0
+	}
+	return cfg.Version
+}
+
+// UsableTargets returns the number of targets that may get new work.
+func (e *Entry) UsableTargets() int {
+	n := 0
+	now := time.Now()
+	view := e.members.View()
+	for i := range view.Members {
+		if view.Members[i].Usable(now, e.members.DeadAfter()) {
+			n++
+		}
+	}
+	return n
+}
+
+func (e *Entry) logEvent(ev suture.Event) {
+	telemetry.Warn(e.opts.Logger, "supervisor event", "event", ev.String())
+}
+
+// random is the source of randomness of routing; its state is per goroutine
+// inside the runtime.
+type random struct{}
+
+// IntN implements decision.Random.
+func (random) IntN(n int) int { return rand.IntN(n) }
+
+// Float64 implements decision.Random.
+func (random) Float64() float64 { return rand.Float64() }
--- /dev/null
+++ b/entry/server.go
@@ -0,0 +1,132 @@
+package entry
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/quetzalglade/quetzalglade/caller"
+	"github.com/quetzalglade/quetzalglade/config"
+	"github.com/quetzalglade/quetzalglade/peer"
+	"github.com/quetzalglade/quetzalglade/result"
+	"github.com/quetzalglade/quetzalglade/telemetry"
+)
+
+// handler serves callers, other processes, health and metrics.
+func (e *Entry) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) { e.handleCompletion(w, r, false) })
+	mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) { e.handleCompletion(w, r, true) })
+	mux.HandleFunc("GET /v1/generations/{id}", e.handleResume)
+	mux.HandleFunc("DELETE /v1/generations/{id}", e.handleCancel)
+	mux.HandleFunc("/s/{service}/{path...}", e.handleCall)
+	peers := http.NewServeMux()
+	peers.HandleFunc("GET "+peer.PathState, e.handleState)
+	peers.HandleFunc("GET "+peer.PathDecisions, e.handleDecisions)
+	mux.Handle("/peer/", e.opts.Keys.Require(peers))
+	mux.Handle("GET /metrics", e.metrics.Handler())
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", e.handleReady)
+	return mux
+}
+
+func (e *Entry) handleReady(w http.ResponseWriter, _ *http.Request) {
+	if !e.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// request is a caller's request after authentication.
+type request struct {
+	id        string
+	config    *config.Config
+	workspace *config.Workspace
+	service   *config.Service
+}
+
+const idBytes = 12
+
+// newID returns a random identifier with a prefix.
+func newID(prefix string) string {
+	raw := make([]byte, idBytes)
+	_, _ = rand.Read(raw)
+	return prefix + hex.EncodeToString(raw)
+}
+
+// authenticate finds the workspace that a request's key belongs to.
+func (e *Entry) authenticate(r *http.Request) (*request, *result.Error) {
+	cfg := e.config.Current()
+	if cfg == nil {
+		return nil, result.New(result.ConfigurationAbsent, result.RanNo, "no configuration yet").RetryAfter(retryNoTarget)
+	}
+	ws := cfg.Authenticate(peer.Bearer(r))
+	if ws == nil {
+		return nil, result.New(result.Unauthenticated, result.RanNo, "missing or invalid key")
+	}
+	return &request{id: newID("req-"), config: cfg, workspace: ws}, nil
+}
+
+// choose attaches the named service. A service that the workspace may not use
+// is reported like one that does not exist.
+func (req *request) choose(name string, kind config.Kind) *result.Error {
+	svc := req.config.Service(name)
+	if svc == nil || svc.Kind != kind || !req.workspace.May(name) {
+		return result.New(result.UnknownService, result.RanNo, "unknown service")
+	}
+	req.service = svc
+	return nil
+}
+
+// fingerprint identifies content, not the request that carries it.
+func fingerprint(parts ...string) string {
+	h := sha256.New()
+	for _, p := range parts {
+		_, _ = h.Write([]byte(p))
+		_, _ = h.Write([]byte{0})
+	}
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+func (e *Entry) handleState(w http.ResponseWriter, _ *http.Request) {
+	st := peer.State{VM: e.opts.VM, Datacentre: e.opts.Datacentre, Region: e.opts.Region, Role: "entry", Ready: e.Ready(), Draining: e.stopping.Load()}
+	st.ConfigVersion = e.Version()
+	st.UsableTargets = e.UsableTargets()
+	writeJSON(w, st)
+}
+
+func (e *Entry) handleDecisions(w http.ResponseWriter, r *http.Request) {
+	id := r.URL.Query().Get("request")
+	writeJSON(w, e.recorder.Find(func(d *telemetry.Decision) bool {
+		return id == "" || strings.HasPrefix(d.Request, id) || d.Generation == id
+	}))
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (e *Entry) handleCancel(w http.ResponseWriter, r *http.Request) {
+	req, refusal := e.authenticate(r)
+	if refusal != nil {
+		result.Write(w, refusal)
+		return
+	}
+	id := r.PathValue("id")
+	m, refusal := e.holder(id)
+	if refusal != nil {
+		result.Write(w, refusal)
+		return
+	}
+	if err := e.peers.Cancel(r.Context(), m.VM.Addr, id, req.workspace.Name); err != nil {
+		result.Write(w, result.From(err))
+		return
+	}
+	w.Header().Set(caller.HeaderRequestID, req.id)
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/entry/settings.go
@@ -0,0 +1,65 @@
+package entry
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+
+	"github.com/quetzalglade/quetzalglade/decision"
+	"github.com/quetzalglade/quetzalglade/peer"
+	"github.com/quetzalglade/quetzalglade/platform"
+)
+
+// Settings are the INI settings of an entry process.
+type Settings struct {
+	Process struct {
+		VM            string        `ini:"vm" help:"name of this VM in the platform's list"`
+		Listen        string        `ini:"listen" help:"ip:port for callers and other processes"`
+		Datacentre    string        `ini:"datacentre" help:"data centre of this VM"`
+		Region        string        `ini:"region" help:"region of this VM"`
+		Keys          []string      `ini:"keys" help:"shared keys of the fleet; the first is sent, all are accepted"`
+		BalancerGrace time.Duration `ini:"balancer_grace" help:"time after a stop signal in which requests are still accepted"`
+		DrainLimit    time.Duration `ini:"drain_limit" help:"longest wait for answers in progress at a stop"`
+	} `ini:"process"`
+	Platform struct {
+		Store        string        `ini:"store" help:"URL of the key-value service"`
+		StoreTimeout time.Duration `ini:"store_timeout" help:"limit of one call to the key-value service"`
+		VMList       string        `ini:"vm_list" help:"URL of the platform's list of VMs"`
+	} `ini:"platform"`
+	Routing struct {
+		Policy string `ini:"policy" help:"round_robin, least_outstanding, two_choices or least_work"`
+	} `ini:"routing"`
+}
+
+// DefaultSettings returns the settings that a file starts from.
+func DefaultSettings() Settings {
+	var s Settings
+	s.Process.Listen = "127.0.0.1:8080"
+	s.Process.BalancerGrace = defaultBalancerGrace
+	s.Process.DrainLimit = defaultDrainLimit
+	s.Platform.StoreTimeout = 2 * time.Second
+	s.Routing.Policy = string(decision.PolicyLeastWork)
+	return s
+}
+
+// Options opens the listener and builds the options of an entry.
+func (s *Settings) Options(logger log.Logger) (Options, error) {
+	if s.Platform.Store == "" || s.Platform.VMList == "" {
+		return Options{}, errors.New("[platform] store and vm_list are required")
+	}
+	listener, err := net.Listen("tcp", s.Process.Listen)
+	if err != nil {
+		return Options{}, errors.Wrap(err, "listen")
+	}
+	client := &http.Client{}
+	return Options{
+		VM: s.Process.VM, Datacentre: s.Process.Datacentre, Region: s.Process.Region, Listener: listener,
+		Keys: peer.Keys(s.Process.Keys), Logger: logger, Policy: decision.Policy(s.Routing.Policy),
+		Store:         platform.NewGateway(s.Platform.Store, client, s.Platform.StoreTimeout),
+		List:          platform.NewVMList(s.Platform.VMList, client),
+		BalancerGrace: s.Process.BalancerGrace, DrainLimit: s.Process.DrainLimit,
+	}, nil
+}
--- /dev/null
+++ b/internal/demo/fleet.go
@@ -0,0 +1,229 @@
+// Package demo runs a small fleet in one program: stand-ins of the platform,
+// agents and an entry on ephemeral loopback ports.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+
+	"github.com/quetzalglade/quetzalglade/agent"
+	"github.com/quetzalglade/quetzalglade/config"
+	"github.com/quetzalglade/quetzalglade/entry"
+	"github.com/quetzalglade/quetzalglade/internal/standin"
+	"github.com/quetzalglade/quetzalglade/operator"
+	"github.com/quetzalglade/quetzalglade/peer"
+	"github.com/quetzalglade/quetzalglade/platform"
+)
+
+// Place is where a VM runs.
+type Place struct {
+	Datacentre string
+	Region     string
+}
+
+// Options describe a fleet.
+type Options struct {
+	// Engines and Plains are the places of the targets.
+	Engines []Place
+	Plains  []Place
+	Entries []Place
+	// Engine describes each engine; its seed is varied.
+	Engine standin.EngineOptions
+	// PlainRole is the role of the plain targets.
+	PlainRole string
+	// PlainDelay is the time of a plain call.
+	PlainDelay time.Duration
+	Logger     log.Logger
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Store   *standin.Store
+	VMs     *standin.VMList
+	Engines []*standin.Engine
+	Plains  []*standin.Plain
+	Agents  []*agent.Agent
+	Entries []*entry.Entry
+	// EntryURLs are the callers' addresses.
+	EntryURLs []string
+	Client    platform.Store
+
+	opts     Options
+	keys     peer.Keys
+	storeURL string
+	listURL  string
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+	closers  []func()
+}
+
+const (
+	fleetKey     = "demo-fleet-key"
+	storeTimeout = 2 * time.Second
+	demoGrace    = time.Millisecond
+	readyPoll    = 20 * time.Millisecond
+)
+
+// Start starts a fleet. Close stops it.
+func Start(opts Options) (*Fleet, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &Fleet{opts: opts, keys: peer.Keys{fleetKey}, cancel: cancel, Store: standin.NewStore(), VMs: standin.NewVMList(0)}
+	if err := f.start(ctx); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	var err error
+	if f.storeURL, err = f.serve(f.Store.Handler()); err != nil {
+		return err
+	}
+	if f.listURL, err = f.serve(f.VMs.Handler()); err != nil {
+		return err
+	}
+	f.Client = platform.NewGateway(f.storeURL, &http.Client{}, storeTimeout)
+	for i, p := range f.opts.Engines {
+		if err := f.startEngine(ctx, i, p); err != nil {
+			return err
+		}
+	}
+	for i, p := range f.opts.Plains {
+		if err := f.startPlain(ctx, i, p); err != nil {
+			return err
+		}
+	}
+	for i, p := range f.opts.Entries {
+		if err := f.startEntry(ctx, i, p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// serve runs a handler on an ephemeral port and returns its URL.
+func (f *Fleet) serve(h http.Handler) (string, error) {
+	l, err := listen()
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: storeTimeout}
+	go func() { _ = server.Serve(l) }()
+	f.closers = append(f.closers, func() { _ = server.Close() })
+	return "http://" + l.Addr().String(), nil
+}
+
+func listen() (net.Listener, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return l, errors.Wrap(err, "listen")
+}
+
+func (f *Fleet) startEngine(ctx context.Context, i int, p Place) error {
+	opts := f.opts.Engine
+	opts.Seed += uint64(i)
+	e := standin.NewEngine(opts)
+	f.Engines = append(f.Engines, e)
+	f.closers = append(f.closers, e.Close)
+	url, err := f.serve(e.Handler())
+	if err != nil {
+		return err
+	}
+	return f.startAgent(ctx, fmt.Sprintf("model-%d", i+1), p, agent.Options{EngineURL: url, Role: "model"})
+}
+
+func (f *Fleet) startPlain(ctx context.Context, i int, p Place) error {
+	svc := standin.NewPlain(f.opts.PlainDelay)
+	f.Plains = append(f.Plains, svc)
+	url, err := f.serve(svc.Handler())
+	if err != nil {
+		return err
+	}
+	return f.startAgent(ctx, fmt.Sprintf("%s-%d", f.opts.PlainRole, i+1), p, agent.Options{PlainURL: url, Role: f.opts.PlainRole})
+}
+
+func (f *Fleet) startAgent(ctx context.Context, vm string, p Place, opts agent.Options) error {
+	l, err := listen()
+	if err != nil {
+		return err
+	}
+	opts.VM, opts.Datacentre, opts.Region = vm, p.Datacentre, p.Region
+	opts.Listener, opts.Keys, opts.Store, opts.Logger = l, f.keys, f.Client, f.opts.Logger
+	a, err := agent.New(opts)
+	if err != nil {
+		return err
+	}
+	f.Agents = append(f.Agents, a)
+	f.run(ctx, a.Serve)
+	f.VMs.Put(platform.VM{Name: vm, Addr: l.Addr().String(), Role: platform.RoleTarget, State: platform.VMLive, Datacentre: p.Datacentre, Region: p.Region})
+	return nil
+}
+
+func (f *Fleet) startEntry(ctx context.Context, i int, p Place) error {
+	l, err := listen()
+	if err != nil {
+		return err
+	}
+	e, err := entry.New(entry.Options{
+		VM: fmt.Sprintf("entry-%d", i+1), Datacentre: p.Datacentre, Region: p.Region, Listener: l, Keys: f.keys,
+		Store: f.Client, List: platform.NewVMList(f.listURL, &http.Client{}), Logger: f.opts.Logger, BalancerGrace: demoGrace,
+	})
+	if err != nil {
+		return err
+	}
+	f.Entries = append(f.Entries, e)
+	f.EntryURLs = append(f.EntryURLs, "http://"+l.Addr().String())
+	f.VMs.Put(platform.VM{Name: fmt.Sprintf("entry-%d", i+1), Addr: l.Addr().String(), Role: platform.RoleEntry, State: platform.VMLive, Datacentre: p.Datacentre, Region: p.Region})
+	f.run(ctx, e.Serve)
+	return nil
+}
+
+func (f *Fleet) run(ctx context.Context, serve func(context.Context) error) {
+	f.wg.Add(1)
+	go func() {
+		defer f.wg.Done()
+		_ = serve(ctx)
+	}()
+}
+
+// Publish puts documents into force and waits until every entry uses them and
+// knows every agent, or ctx ends.
+func (f *Fleet) Publish(ctx context.Context, docs []config.Document) error {
+	m, err := operator.Publish(ctx, f.Client, docs, "demo", time.Now())
+	if err != nil {
+		return err
+	}
+	for !f.inForce(m.Version) {
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "waiting for the configuration")
+		case <-time.After(readyPoll):
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) inForce(version int64) bool {
+	for _, e := range f.Entries {
+		if e.Version() < version || e.UsableTargets() < len(f.Agents) {
+			return false
+		}
+	}
+	return true
+}
+
+// Close stops the fleet.
+func (f *Fleet) Close() {
+	f.cancel()
+	f.wg.Wait()
+	for _, c := range f.closers {
+		c()
+	}
+}
--- /dev/null
+++ b/internal/standin/storewatch.go
@@ -0,0 +1,75 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+type watchRequest struct {
+	Create struct {
+		Key           []byte `json:"key"`
+		RangeEnd      []byte `json:"range_end"`
+		StartRevision int64  `json:"start_revision,string"`
+	} `json:"create_request"`
+}
+
+type watchResult struct {
+	Header  header       `json:"header"`
+	Created bool         `json:"created,omitempty"`
+	Events  []storeEvent `json:"events,omitempty"`
+}
+
+// leaseCheck is how often an idle watch looks for expired leases.
+const leaseCheck = 200 * time.Millisecond
+
+func (s *Store) handleWatch(w http.ResponseWriter, r *http.Request) {
+	var req watchRequest
+	if !read(w, r, &req) {
+		return
+	}
+	rng := rangeRequest{Key: req.Create.Key, RangeEnd: req.Create.RangeEnd}
+	next := req.Create.StartRevision
+	enc := json.NewEncoder(w)
+	rc := http.NewResponseController(w)
+	created := true
+	for {
+		s.mu.Lock()
+		if created {
+			s.counts.Watches++
+		}
+		down := s.faults.Down
+		s.expire(time.Now())
+		events := s.since(rng, next)
+		revision := s.revision
+		changed := s.changed
+		s.mu.Unlock()
+		if down {
+			abort(w)
+		}
+		if created || len(events) > 0 {
+			out := watchResult{Header: header{revision}, Created: created, Events: events}
+			if enc.Encode(map[string]any{"result": out}) != nil || rc.Flush() != nil {
+				return
+			}
+		}
+		created = false
+		next = max(next, revision+1)
+		select {
+		case <-changed:
+		case <-time.After(leaseCheck):
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) since(rng rangeRequest, revision int64) []storeEvent {
+	var out []storeEvent
+	for i := len(s.history) - 1; i >= 0 && s.history[i].KV.ModRevision >= revision; i-- {
+		if rng.covers(string(s.history[i].KV.Key)) {
+			out = append([]storeEvent{s.history[i]}, out...)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/standin/vmlist.go
@@ -0,0 +1,86 @@
+package standin
+
+import (
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/quetzalglade/quetzalglade/platform"
+)
+
+// VMList serves the platform's list of VMs, which lags behind the truth.
+type VMList struct {
+	mu      sync.Mutex
+	lag     time.Duration
+	changes []vmChange
+	shown   map[string]platform.VM
+}
+
+type vmChange struct {
+	at   time.Time
+	name string
+	vm   *platform.VM
+}
+
+// NewVMList returns a list that shows changes after a lag.
+func NewVMList(lag time.Duration) *VMList {
+	return &VMList{lag: lag, shown: map[string]platform.VM{}}
+}
+
+// Put adds or changes a VM.
+func (l *VMList) Put(vm platform.VM) { l.change(vm.Name, &vm) }
+
+// Remove takes a VM off the list.
+func (l *VMList) Remove(name string) { l.change(name, nil) }
+
+func (l *VMList) change(name string, vm *platform.VM) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.changes = append(l.changes, vmChange{at: time.Now().Add(l.lag), name: name, vm: vm})
+}
+
+// Handler serves the list in the HTTP service-discovery format. POST adds a VM
+// and DELETE /{name} removes one.
+func (l *VMList) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /", l.handleList)
+	mux.HandleFunc("POST /", func(w http.ResponseWriter, r *http.Request) {
+		var vm platform.VM
+		if read(w, r, &vm) {
+			l.Put(vm)
+		}
+	})
+	mux.HandleFunc("DELETE /{name}", func(_ http.ResponseWriter, r *http.Request) { l.Remove(r.PathValue("name")) })
+	return mux
+}
+
+func (l *VMList) handleList(w http.ResponseWriter, _ *http.Request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.settle(time.Now())
+	groups := make([]platform.TargetGroup, 0, len(l.shown))
+	for _, vm := range l.shown {
+		groups = append(groups, platform.TargetGroup{
+			Targets: []string{vm.Addr},
+			Labels: map[string]string{
+				platform.LabelVM: vm.Name, platform.LabelRole: string(vm.Role), platform.LabelState: string(vm.State),
+				platform.LabelDatacentre: vm.Datacentre, platform.LabelRegion: vm.Region,
+			},
+		})
+	}
+	sort.Slice(groups, func(i, j int) bool { return groups[i].Labels[platform.LabelVM] < groups[j].Labels[platform.LabelVM] })
+	writeJSON(w, groups)
+}
+
+func (l *VMList) settle(now time.Time) {
+	for len(l.changes) > 0 && !now.Before(l.changes[0].at) {
+		c := l.changes[0]
+		l.changes = l.changes[1:]
+		if c.vm == nil {
+			delete(l.shown, c.name)
+			continue
+		}
+		l.shown[c.name] = *c.vm
+	}
+}
