Add messages for calls that run at most once

Cause: a call whose reply was lost, or whose entry died after the claim, could only be answered "unknown", though the agent knows whether it began.

Change: Call.Once marks such a call, OutcomeQuery asks an agent for its fate, a state carries the agent's uptime, and an issued key names an agent process.

--- a/peer/message.go
+++ b/peer/message.go
@@ -14,6 +14,7 @@
 	PathAttempts    = "/peer/v1/attempts"
 	PathGenerations = "/peer/v1/generations/"
 	PathCalls       = "/peer/v1/calls"
+	PathOutcome     = "/peer/v1/calls/outcome"
 	PathRevoke      = "/peer/v1/revoke"
 	PathState       = "/peer/v1/state"
 	PathDecisions   = "/peer/v1/decisions"
@@ -51,6 +52,8 @@
 	Models        []string `json:"models,omitempty"`
 	ConfigVersion int64    `json:"config_version"`
 	Load          Load     `json:"load"`
+	// UptimeMillis is the age of the agent process.
+	UptimeMillis int64 `json:"uptime_ms,omitempty"`
 	// UsableTargets is the number of targets that an entry may send work to.
 	UsableTargets int `json:"usable_targets,omitempty"`
 }
@@ -129,6 +132,8 @@
 	// TimeoutMillis bounds the call at the service.
 	TimeoutMillis int64 `json:"timeout_ms"`
 	ConfigVersion int64 `json:"config_version"`
+	// Once is set for a call that may run at most once.
+	Once *Once `json:"once,omitempty"`
 }
 
 // Reply answers a Call. Exactly one of Error and Status is set.
