Give the store stand-in rates, an arrival counter and dead leases

Cause: the stand-in took any rate of calls and wrote under ended leases, so neither a herd nor a claim's expiry could be shown with it.

Change: writes and reads wait their turn at a set rate, arrivals are counted by second whether answered or not, and a write under a lease that does not exist is refused as etcd does.

--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -34,6 +34,10 @@
 	DelayMillis int64 `json:"delay_ms"`
 	// DropReplies is the number of writes to apply without answering.
 	DropReplies int `json:"drop_replies"`
+	// WritesPerSecond and ReadsPerSecond make calls wait their turn, 0 for no
+	// limit.
+	WritesPerSecond int `json:"writes_per_second"`
+	ReadsPerSecond  int `json:"reads_per_second"`
 }
 
 // StoreCounts counts the calls that reached a Store.
@@ -52,6 +56,9 @@
 	changed  chan struct{}
 	faults   StoreFaults
 	counts   StoreCounts
+	writes   pacer
+	reads    pacer
+	arrivals arrivals
 }
 
 // NewStore returns an empty store.
@@ -96,15 +103,16 @@
 
 func (s *Store) faulty(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		now := time.Now()
 		s.mu.Lock()
 		f := s.faults
+		s.arrivals.add(now)
+		wait := s.turn(r.URL.Path, now)
 		s.mu.Unlock()
 		if f.Down {
 			abort(w)
 		}
-		if f.DelayMillis > 0 {
-			time.Sleep(time.Duration(f.DelayMillis) * time.Millisecond)
-		}
+		time.Sleep(wait + time.Duration(f.DelayMillis)*time.Millisecond)
 		next.ServeHTTP(w, r)
 	})
 }
@@ -211,6 +219,10 @@
 	defer s.mu.Unlock()
 	s.counts.Writes++
 	s.expire(time.Now())
+	if !s.leasesLive(&req) {
+		http.Error(w, "requested lease not found", http.StatusNotFound)
+		return
+	}
 	out := s.transact(&req)
 	if s.faults.DropReplies > 0 {
 		s.faults.DropReplies--
