Claim keys in grouped writes that name the one agent process

Cause: a claim said only that somebody held the key. A lost reply of the store, an entry killed after its claim or a cut link left the key "unknown" for ever, each call cost two store writes, and claims never expired.

Change: a claim names call id, agent process and when that process was chosen. The agent remembers ids it has begun or withdrawn, joins repeats to the first call, and starts nothing that was addressed to it too long ago, so that neither a paused entry, a late packet nor an expired claim makes a second effect. Who finds a claim without an outcome asks that agent. A batcher groups claims and outcomes of many keys into one transaction; the comparisons make it safe, so that no process owns a shard. Claims of a time segment share a lease. Issued keys name the agent process and need no store.

Ruled out: one value per shard with all its claims. A claim has to stay for the whole retention, so that a shard's value grows with it and every write carries the whole value; at 300 claims a second kept for an hour at 200 bytes, shards of 100 KB number 2,160 and a store of 300 writes a second hardly groups anything. Ruled out too: a tombstone for an uncertain write (the agent settles it).

Tests red before: the answer of an earlier key in a store outage (repeat said "in progress"; the query did not look before its wait ended). Made red on purpose: without the check of age TestOnceClaimExpires counts 2 effects; without tombstones TestOnceCallerKey fails; with a lost reply taken as won porcupine finds TestClaimsAreLinearizable's history illegal. A first model of that history was wrong: a Put that lost may have taken effect and been replaced meanwhile.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -62,6 +62,8 @@
 	config      *configsync.Follower
 	control     *control
 	generations *table
+	once        *onceTable
+	started     time.Time
 	state       atomic.Pointer[peer.State]
 	work        sync.WaitGroup
 	// base is the context of work at the target; it outlives requests.
@@ -93,6 +95,8 @@
 		recorder:    telemetry.NewRecorder(opts.Logger, decisionRing),
 		metrics:     metrics,
 		generations: newTable(),
+		once:        newOnceTable(),
+		started:     time.Now(),
 	}
 	a.base, a.cancel = context.WithCancel(context.Background())
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: opts.Limits.Slots}}
@@ -196,7 +200,11 @@
 }
 
 // State returns what the agent tells other processes of itself.
-func (a *Agent) State() peer.State { return *a.state.Load() }
+func (a *Agent) State() peer.State {
+	st := *a.state.Load()
+	st.UptimeMillis = a.uptime().Milliseconds()
+	return st
+}
 
 func (a *Agent) configuration() *config.Config {
 	if a.config == nil {
--- a/agent/call.go
+++ b/agent/call.go
@@ -24,6 +24,10 @@
 		result.Write(w, result.New(result.NoTarget, result.RanNo, "no plain service here"))
 		return
 	}
+	if call.Once != nil {
+		a.handleOnce(w, r, &call)
+		return
+	}
 	if call.Incarnation != a.incarnation {
 		result.Write(w, result.New(result.TargetLeaving, result.RanNo, "the target was replaced"))
 		return
--- a/agent/server.go
+++ b/agent/server.go
@@ -31,6 +31,7 @@
 	peers.HandleFunc("GET "+peer.PathGenerations+"{id}", a.handleResume)
 	peers.HandleFunc("DELETE "+peer.PathGenerations+"{id}", a.handleCancel)
 	peers.HandleFunc("POST "+peer.PathCalls, a.handleCall)
+	peers.HandleFunc("POST "+peer.PathOutcome, a.handleOutcome)
 	peers.HandleFunc("POST "+peer.PathRevoke, a.handleRevoke)
 	peers.HandleFunc("GET "+peer.PathState, a.handleState)
 	peers.HandleFunc("GET "+peer.PathDecisions, a.handleDecisions)
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -1,11 +1,12 @@
 // Package claim makes a non-idempotent call run at most once: its key is
 // claimed in the platform's store before the call is dispatched, and the
-// outcome is written back for callers that repeat it.
+// outcome is written back for callers that repeat it. A claim names the one
+// agent process that may run the call, which settles every doubt: that process
+// remembers whether the call began.
 package claim
 
 import (
 	"context"
-	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -19,11 +20,16 @@
 // Prefix is where claims live in the store.
 const Prefix = "/quetzalglade/claims/"
 
+// maxOutcomeBytes bounds the body of a kept answer.
+const maxOutcomeBytes = 64 << 10
+
 // Outcome is the answer that a claimed call received.
 type Outcome struct {
 	Status int               `json:"status"`
 	Header map[string]string `json:"header,omitempty"`
 	Body   []byte            `json:"body,omitempty"`
+	// Dropped is set if the body was too large to keep.
+	Dropped bool `json:"dropped,omitempty"`
 }
 
 // Key identifies a non-idempotent call.
@@ -32,130 +38,132 @@
 	Service   string
 	// Value is the caller's Idempotency-Key.
 	Value string
-	// Fingerprint is the digest of the call's content.
-	Fingerprint string
 }
 
-// Status tells what a claim found.
-type Status int
-
-// The results of a claim.
-const (
-	// Won means that this caller may dispatch the call, and nobody else.
-	Won Status = iota
-	// Held means that another claim exists without an outcome.
-	Held
-	// Settled means that the call ran; the outcome is known.
-	Settled
-	// Mismatch means that the key was used with other content.
-	Mismatch
-)
+// Digest returns the name of the key in the store, which is free of the
+// caller's text.
+func (k Key) Digest() string {
+	sum := sha256.Sum256([]byte(k.Workspace + "\x00" + k.Service + "\x00" + k.Value))
+	return hex.EncodeToString(sum[:])
+}
 
 // Record is the stored form of a claim.
 type Record struct {
-	Nonce       string    `json:"nonce"`
-	Fingerprint string    `json:"fingerprint"`
-	Claimed     time.Time `json:"claimed"`
-	Outcome     *Outcome  `json:"outcome,omitempty"`
+	// Call is the unique id of the call; only its holder may send it, and only
+	// to the agent process that Target and Incarnation name.
+	Call        string `json:"call"`
+	Target      string `json:"target"`
+	Incarnation string `json:"incarnation"`
+	// SeenMillis is the uptime of the agent process when the target was chosen.
+	SeenMillis int64 `json:"seen_ms"`
+	// Fingerprint is the digest of the call's content.
+	Fingerprint string   `json:"fingerprint"`
+	Outcome     *Outcome `json:"outcome,omitempty"`
 }
 
-// Claim is the result of Acquire.
+// Claim is a record as the store holds it.
 type Claim struct {
-	Status  Status
-	Outcome *Outcome
-	key     string
-	record  Record
-	rev     int64
+	Record
+	key      string
+	revision int64
+	lease    int64
 }
 
 // Registry claims keys in the store. It may be used from any goroutine.
-type Registry struct{ store platform.Store }
-
-// NewRegistry returns a registry over the store.
-func NewRegistry(store platform.Store) *Registry { return &Registry{store: store} }
+type Registry struct {
+	store    platform.Store
+	batch    *Batcher
+	segments *segments
+}
 
-// storeKey hashes the caller's key, which may hold any text.
-func (k Key) storeKey() string {
-	sum := sha256.Sum256([]byte(k.Workspace + "\x00" + k.Service + "\x00" + k.Value))
-	return Prefix + hex.EncodeToString(sum[:])
+// NewRegistry returns a registry whose claims expire after the retention.
+func NewRegistry(store platform.Store, batch *Batcher, retention time.Duration) *Registry {
+	return &Registry{store: store, batch: batch, segments: newSegments(store, retention)}
 }
 
-// ErrUncertain is returned if the store did not answer, so that nothing may be
-// dispatched. The claim may have been written.
+// ErrUncertain is returned if the store did not answer. The claim may have been
+// written; whoever finds it asks the agent that it names.
 var ErrUncertain = errors.New("store did not settle the claim")
 
-const nonceBytes = 12
+// Put claims the key, or replaces the claim that was seen. It returns the claim
+// that the key now has, nil for none; it is the caller's own if its Call equals
+// the record's. A lost reply is settled by this comparison.
+func (r *Registry) Put(ctx context.Context, k Key, seen *Claim, rec Record) (*Claim, error) {
+	next := &Claim{Record: rec, key: Prefix + k.Digest()}
+	var revision int64
+	if seen != nil {
+		revision = seen.revision
+	}
+	cur, err := r.put(ctx, next, revision)
+	if errors.Is(err, platform.ErrLeaseNotFound) {
+		r.segments.forget(next.lease)
+		next.lease = 0
+		cur, err = r.put(ctx, next, revision)
+	}
+	if err != nil {
+		return nil, errors.Mark(err, ErrUncertain)
+	}
+	return cur, nil
+}
 
-// Acquire claims the key. A lost reply of the store is settled by reading the
-// claim back and comparing its nonce.
-func (r *Registry) Acquire(ctx context.Context, k Key, now time.Time) (*Claim, error) {
-	raw := make([]byte, nonceBytes)
-	_, _ = rand.Read(raw)
-	c := &Claim{key: k.storeKey(), record: Record{Nonce: hex.EncodeToString(raw), Fingerprint: k.Fingerprint, Claimed: now}}
-	data, err := json.Marshal(c.record)
+func (r *Registry) put(ctx context.Context, c *Claim, revision int64) (*Claim, error) {
+	if c.lease == 0 {
+		lease, err := r.segments.lease(ctx, time.Now())
+		if err != nil {
+			return nil, err
+		}
+		c.lease = lease
+	}
+	data, err := json.Marshal(c.Record)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode claim")
 	}
-	res, err := r.store.Commit(ctx, platform.Txn{
-		Compares: []platform.Compare{{Key: c.key}},
-		Ops:      []platform.Op{{Key: c.key, Value: data}},
-	})
-	if err == nil && res.Applied {
-		c.rev = res.Revision
-		return c, nil
+	a, err := r.batch.update(ctx, revision, platform.Op{Key: c.key, Value: data, Lease: c.lease})
+	if err != nil {
+		return nil, err
 	}
-	if err == nil && len(res.Current) == 1 {
-		return c.compare(&res.Current[0])
+	if a.applied {
+		c.revision = a.revision
+		return c, nil
 	}
-	return r.readBack(ctx, c)
+	return decode(a.current)
 }
 
-func (r *Registry) readBack(ctx context.Context, c *Claim) (*Claim, error) {
-	kv, err := r.store.Get(ctx, c.key)
-	if err != nil || kv == nil {
-		return nil, ErrUncertain
+// decode returns the claim that a key holds, nil for none.
+func decode(kv *platform.KV) (*Claim, error) {
+	if kv == nil {
+		return nil, nil
 	}
-	return c.compare(kv)
-}
-
-// compare decides by the stored record who holds the claim.
-func (c *Claim) compare(kv *platform.KV) (*Claim, error) {
-	var stored Record
-	if err := json.Unmarshal(kv.Value, &stored); err != nil {
+	c := &Claim{key: kv.Key, revision: kv.ModRevision, lease: kv.Lease}
+	if err := json.Unmarshal(kv.Value, &c.Record); err != nil {
 		return nil, errors.Wrap(err, "decode claim")
 	}
-	switch {
-	case stored.Nonce == c.record.Nonce:
-		c.rev = kv.ModRevision
-	case stored.Fingerprint != c.record.Fingerprint:
-		c.Status = Mismatch
-	case stored.Outcome != nil:
-		c.Status, c.Outcome = Settled, stored.Outcome
-	default:
-		c.Status = Held
-	}
 	return c, nil
 }
 
-// Settle writes the outcome of a won claim.
-func (r *Registry) Settle(ctx context.Context, c *Claim, out Outcome) error {
-	c.record.Outcome = &out
-	data, err := json.Marshal(c.record)
+// Get returns the claim of a key, nil for none.
+func (r *Registry) Get(ctx context.Context, k Key) (*Claim, error) {
+	kv, err := r.store.Get(ctx, Prefix+k.Digest())
 	if err != nil {
-		return errors.Wrap(err, "encode outcome")
+		return nil, err
+	}
+	return decode(kv)
+}
+
+// Settle writes the outcome into a claim. It does nothing if the claim was
+// replaced or has expired.
+func (r *Registry) Settle(ctx context.Context, c *Claim, out Outcome) error {
+	next := *c
+	if len(out.Body) > maxOutcomeBytes {
+		out.Body, out.Dropped = nil, true
 	}
-	_, err = r.store.Commit(ctx, platform.Txn{
-		Compares: []platform.Compare{{Key: c.key, ModRevision: c.rev}},
-		Ops:      []platform.Op{{Key: c.key, Value: data}},
-	})
+	next.Outcome = &out
+	_, err := r.put(ctx, &next, c.revision)
 	return err
 }
 
-// Release withdraws a won claim of a call that certainly did not run.
+// Release withdraws a claim whose call certainly did not run.
 func (r *Registry) Release(ctx context.Context, c *Claim) error {
-	_, err := r.store.Commit(ctx, platform.Txn{
-		Compares: []platform.Compare{{Key: c.key, ModRevision: c.rev}},
-		Ops:      []platform.Op{{Key: c.key, Delete: true}},
-	})
+	_, err := r.batch.update(ctx, c.revision, platform.Op{Key: c.key, Delete: true})
 	return err
 }
--- a/entry/call.go
+++ b/entry/call.go
@@ -4,18 +4,15 @@
 	"context"
 	"net/http"
 	"slices"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/quetzalglade/quetzalglade/caller"
-	"github.com/quetzalglade/quetzalglade/claim"
 	"github.com/quetzalglade/quetzalglade/config"
 	"github.com/quetzalglade/quetzalglade/decision"
 	"github.com/quetzalglade/quetzalglade/membership"
 	"github.com/quetzalglade/quetzalglade/peer"
 	"github.com/quetzalglade/quetzalglade/result"
-	"github.com/quetzalglade/quetzalglade/telemetry"
 )
 
 // call is a caller's call to a plain service in progress.
@@ -26,9 +23,6 @@
 	idempotent bool
 }
 
-// settleTimeout bounds the write of an outcome after the call.
-const settleTimeout = 5 * time.Second
-
 func (e *Entry) handleCall(w http.ResponseWriter, r *http.Request) {
 	req, refusal := e.authenticate(r)
 	if refusal != nil {
@@ -96,54 +90,6 @@
 	return h
 }
 
-// runOnce claims the caller's key, then makes the call. Without a claim
-// nothing is dispatched.
-func (c *call) runOnce(ctx context.Context, key string) (*peer.Reply, *result.Error) {
-	held, err := c.entry.claims.Acquire(ctx, claim.Key{
-		Workspace: c.workspace.Name, Service: c.service.Name, Value: key,
-		Fingerprint: fingerprint(c.message.Method, c.message.Path, string(c.message.Body)),
-	}, time.Now())
-	if err != nil {
-		return nil, result.New(result.StoreUnavailable, result.RanNo, "the claim could not be written").RetryAfter(retryNoTarget)
-	}
-	c.recordClaim(held)
-	switch held.Status {
-	case claim.Settled:
-		return &peer.Reply{Status: held.Outcome.Status, Header: held.Outcome.Header, Body: held.Outcome.Body}, nil
-	case claim.Held:
-		return nil, result.New(result.OutcomeUnknown, result.RanUnknown, "a call with this key is in progress or its outcome is unknown").RetryAfter(retryNoTarget)
-	case claim.Mismatch:
-		return nil, result.New(result.KeyReused, result.RanNo, "the key was used with other content")
-	}
-	// The claim is held: from here on the caller's departure changes nothing.
-	reply, failure := c.run(context.WithoutCancel(ctx))
-	c.settle(held, reply, failure)
-	return reply, failure
-}
-
-func (c *call) settle(held *claim.Claim, reply *peer.Reply, failure *result.Error) {
-	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
-	defer cancel()
-	var err error
-	switch {
-	case failure == nil:
-		err = c.entry.claims.Settle(ctx, held, claim.Outcome{Status: reply.Status, Header: reply.Header, Body: reply.Body})
-	case failure.Ran == result.RanNo:
-		err = c.entry.claims.Release(ctx, held)
-	}
-	if err != nil {
-		telemetry.Warn(c.entry.opts.Logger, "claim not settled", "request", c.id, "err", err)
-	}
-}
-
-func (c *call) recordClaim(held *claim.Claim) {
-	names := map[claim.Status]string{claim.Won: "won", claim.Held: "held", claim.Settled: "settled", claim.Mismatch: "mismatch"}
-	c.entry.recorder.Record(telemetry.Decision{
-		Kind: telemetry.KindClaim, Request: c.id, Workspace: c.workspace.Name, Service: c.service.Name,
-		Choice: "claim", Reason: names[held.Status], Version: c.config.Version,
-	})
-}
-
 // run tries targets. A call that may have begun is repeated only if it is
 // idempotent.
 func (c *call) run(ctx context.Context) (*peer.Reply, *result.Error) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -45,6 +45,11 @@
 	BalancerGrace time.Duration
 	// DrainLimit bounds the wait for answers in progress at a stop.
 	DrainLimit time.Duration
+	// ClaimRetention is how long the outcome of a call with the caller's key is
+	// kept.
+	ClaimRetention time.Duration
+	// Claims bound the store writes for claims.
+	Claims claim.BatchOptions
 }
 
 // Entry serves callers.
@@ -56,6 +61,7 @@
 	members  *membership.Tracker
 	peers    *peer.Client
 	claims   *claim.Registry
+	batcher  *claim.Batcher
 	stopping atomic.Bool
 
 	routeMu sync.Mutex
@@ -70,6 +76,8 @@
 	defaultBalancerGrace = 2 * time.Second
 	defaultDrainLimit    = 30 * time.Minute
 	peerConnsPerHost     = 256
+	// defaultClaimRetention has to exceed the longest call by far.
+	defaultClaimRetention = 24 * time.Hour
 )
 
 // New returns an entry; Serve runs it.
@@ -83,6 +91,7 @@
 	}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: peerConnsPerHost}}
 	peers := peer.NewClient(client, opts.Keys)
+	batcher := claim.NewBatcher(opts.Store, opts.Claims)
 	return &Entry{
 		opts:     opts,
 		recorder: telemetry.NewRecorder(opts.Logger, decisionRing),
@@ -90,7 +99,8 @@
 		config:   configsync.New(configsync.Options{Store: opts.Store, Logger: opts.Logger}),
 		members:  membership.New(membership.Options{List: opts.List, Peers: peers, Logger: opts.Logger}),
 		peers:    peers,
-		claims:   claim.NewRegistry(opts.Store),
+		claims:   claim.NewRegistry(opts.Store, batcher, opts.ClaimRetention),
+		batcher:  batcher,
 		router:   decision.NewRouter(opts.Policy, opts.Datacentre, opts.Region),
 		sent:     map[string]int{},
 	}, nil
@@ -109,6 +119,9 @@
 	if o.BalancerGrace == 0 {
 		o.BalancerGrace = defaultBalancerGrace
 	}
+	if o.ClaimRetention == 0 {
+		o.ClaimRetention = defaultClaimRetention
+	}
 	if o.DrainLimit == 0 {
 		o.DrainLimit = defaultDrainLimit
 	}
@@ -122,6 +135,7 @@
 	core := suture.New("entry", suture.Spec{EventHook: e.logEvent, Timeout: e.opts.DrainLimit})
 	core.Add(e.config)
 	core.Add(e.members)
+	core.Add(e.batcher)
 	front := suture.New("entry callers", suture.Spec{EventHook: e.logEvent, Timeout: e.opts.DrainLimit})
 	front.Add(httpserve.New("entry callers", e.opts.Listener, e.handler(), e.opts.DrainLimit))
 	detached := context.WithoutCancel(ctx)
--- a/entry/server.go
+++ b/entry/server.go
@@ -22,6 +22,7 @@
 	mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) { e.handleCompletion(w, r, true) })
 	mux.HandleFunc("GET /v1/generations/{id}", e.handleResume)
 	mux.HandleFunc("DELETE /v1/generations/{id}", e.handleCancel)
+	mux.HandleFunc("POST /v1/keys", e.handleKeys)
 	mux.HandleFunc("/s/{service}/{path...}", e.handleCall)
 	peers := http.NewServeMux()
 	peers.HandleFunc("GET "+peer.PathState, e.handleState)
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 
+	"github.com/quetzalglade/quetzalglade/claim"
 	"github.com/quetzalglade/quetzalglade/decision"
 	"github.com/quetzalglade/quetzalglade/peer"
 	"github.com/quetzalglade/quetzalglade/platform"
@@ -32,6 +33,11 @@
 	Routing struct {
 		Policy string `ini:"policy" help:"round_robin, least_outstanding, two_choices or least_work"`
 	} `ini:"routing"`
+	Claims struct {
+		Retention time.Duration `ini:"retention" help:"time for which the outcome of a call with a caller's key is kept"`
+		Writes    int           `ini:"writes_per_second" help:"share of the store's write rate that this process uses for claims"`
+		Group     int           `ini:"group" help:"claims in one store write at most; 1 turns grouping off"`
+	} `ini:"claims"`
 }
 
 // DefaultSettings returns the settings that a file starts from.
@@ -41,6 +47,9 @@
 	s.Process.BalancerGrace = defaultBalancerGrace
 	s.Process.DrainLimit = defaultDrainLimit
 	s.Platform.StoreTimeout = 2 * time.Second
+	s.Claims.Retention = defaultClaimRetention
+	s.Claims.Writes = claim.DefaultWritesPerSecond
+	s.Claims.Group = claim.DefaultGroup
 	s.Routing.Policy = string(decision.PolicyLeastWork)
 	return s
 }
@@ -61,5 +70,7 @@
 		Store:         platform.NewGateway(s.Platform.Store, client, s.Platform.StoreTimeout),
 		List:          platform.NewVMList(s.Platform.VMList, client),
 		BalancerGrace: s.Process.BalancerGrace, DrainLimit: s.Process.DrainLimit,
+		ClaimRetention: s.Claims.Retention,
+		Claims:         claim.BatchOptions{WritesPerSecond: s.Claims.Writes, Group: s.Claims.Group},
 	}, nil
 }
