Add quetzalglade load: open-loop measurement of an embedded fleet

Cause: decisions under load had no measure. The tool sends a deployment's mix at times that do not depend on the answers; latencies count from the intended arrival. An embedded fleet gets one-way delays, a narrow link between regions and byte counts from internal/wan. Lengths reach only the stand-in engine.

Ruled out: toxiproxy for the delays, since one proxy for each pair of places would carry every token once more and its latency toxic holds no bandwidth shared by several connections.

--- a/cmd/quetzalglade/main.go
+++ b/cmd/quetzalglade/main.go
@@ -14,6 +14,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(checkCommand(), publishCommand(), demoCommand(), versionCommand())
+	root.AddCommand(checkCommand(), publishCommand(), demoCommand(), loadCommand(), versionCommand())
 	command.Main(root)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -38,6 +38,8 @@
 	Store    platform.Store
 	List     membership.Lister
 	Logger   log.Logger
+	// Dial opens the connections to agents; nil selects the standard dialer.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// Policy selects the routing policy, least_work if empty.
 	Policy decision.Policy
 	// BalancerGrace is how long a stopping entry still accepts requests, so
@@ -81,7 +83,7 @@
 	if err != nil {
 		return nil, err
 	}
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: peerConnsPerHost}}
+	client := &http.Client{Transport: &http.Transport{DialContext: opts.Dial, MaxIdleConnsPerHost: peerConnsPerHost}}
 	peers := peer.NewClient(client, opts.Keys)
 	return &Entry{
 		opts:     opts,
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -15,18 +16,17 @@
 
 	"github.com/quetzalglade/quetzalglade/agent"
 	"github.com/quetzalglade/quetzalglade/config"
+	"github.com/quetzalglade/quetzalglade/decision"
 	"github.com/quetzalglade/quetzalglade/entry"
 	"github.com/quetzalglade/quetzalglade/internal/standin"
+	"github.com/quetzalglade/quetzalglade/internal/wan"
 	"github.com/quetzalglade/quetzalglade/operator"
 	"github.com/quetzalglade/quetzalglade/peer"
 	"github.com/quetzalglade/quetzalglade/platform"
 )
 
 // Place is where a VM runs.
-type Place struct {
-	Datacentre string
-	Region     string
-}
+type Place = wan.Place
 
 // Options describe a fleet.
 type Options struct {
@@ -40,7 +40,20 @@
 	PlainRole string
 	// PlainDelay is the time of a plain call.
 	PlainDelay time.Duration
-	Logger     log.Logger
+	// EngineLimits and PlainLimits bound the work of a target; zero values
+	// select the agent's defaults.
+	EngineLimits decision.QueueLimits
+	PlainLimits  decision.QueueLimits
+	// Policy selects the entries' routing policy, the default if empty.
+	Policy decision.Policy
+	// Network delays what the processes exchange; nil does not. The store and
+	// the VM list are at the first engine's place.
+	Network *wan.Network
+	// AdjustAgent and AdjustEntry change the options of a process before it
+	// starts; nil leaves them.
+	AdjustAgent func(*agent.Options)
+	AdjustEntry func(*entry.Options)
+	Logger      log.Logger
 }
 
 // Fleet is a running fleet.
@@ -69,6 +82,7 @@
 	storeTimeout = 2 * time.Second
 	demoGrace    = time.Millisecond
 	readyPoll    = 20 * time.Millisecond
+	idleConns    = 64
 )
 
 // Start starts a fleet. Close stops it.
@@ -91,6 +105,8 @@
 		return err
 	}
 	f.Client = platform.NewGateway(f.storeURL, &http.Client{}, storeTimeout)
+	f.place(strings.TrimPrefix(f.storeURL, "http://"), f.home())
+	f.place(strings.TrimPrefix(f.listURL, "http://"), f.home())
 	for i, p := range f.opts.Engines {
 		if err := f.startEngine(ctx, i, p); err != nil {
 			return err
@@ -109,6 +125,32 @@
 	return nil
 }
 
+// home is where the platform's services are.
+func (f *Fleet) home() Place {
+	if len(f.opts.Engines) == 0 {
+		return Place{}
+	}
+	return f.opts.Engines[0]
+}
+
+func (f *Fleet) place(addr string, p Place) {
+	if f.opts.Network != nil {
+		f.opts.Network.Register(addr, p)
+	}
+}
+
+// httpClient returns a client for a process at a place.
+func (f *Fleet) httpClient(p Place) *http.Client {
+	if f.opts.Network == nil {
+		return &http.Client{}
+	}
+	return &http.Client{Transport: &http.Transport{DialContext: f.opts.Network.Dialer(p), MaxIdleConnsPerHost: idleConns}}
+}
+
+func (f *Fleet) store(p Place) platform.Store {
+	return platform.NewGateway(f.storeURL, f.httpClient(p), storeTimeout)
+}
+
 // serve runs a handler on an ephemeral port and returns its URL.
 func (f *Fleet) serve(h http.Handler) (string, error) {
 	l, err := listen()
@@ -136,7 +178,7 @@
 	if err != nil {
 		return err
 	}
-	return f.startAgent(ctx, fmt.Sprintf("model-%d", i+1), p, agent.Options{EngineURL: url, Role: "model"})
+	return f.startAgent(ctx, fmt.Sprintf("model-%d", i+1), p, agent.Options{EngineURL: url, Role: "model", Limits: f.opts.EngineLimits})
 }
 
 func (f *Fleet) startPlain(ctx context.Context, i int, p Place) error {
@@ -146,7 +188,7 @@
 	if err != nil {
 		return err
 	}
-	return f.startAgent(ctx, fmt.Sprintf("%s-%d", f.opts.PlainRole, i+1), p, agent.Options{PlainURL: url, Role: f.opts.PlainRole})
+	return f.startAgent(ctx, fmt.Sprintf("%s-%d", f.opts.PlainRole, i+1), p, agent.Options{PlainURL: url, Role: f.opts.PlainRole, Limits: f.opts.PlainLimits})
 }
 
 func (f *Fleet) startAgent(ctx context.Context, vm string, p Place, opts agent.Options) error {
@@ -155,7 +197,11 @@
 		return err
 	}
 	opts.VM, opts.Datacentre, opts.Region = vm, p.Datacentre, p.Region
-	opts.Listener, opts.Keys, opts.Store, opts.Logger = l, f.keys, f.Client, f.opts.Logger
+	opts.Listener, opts.Keys, opts.Store, opts.Logger = l, f.keys, f.store(p), f.opts.Logger
+	f.place(l.Addr().String(), p)
+	if f.opts.AdjustAgent != nil {
+		f.opts.AdjustAgent(&opts)
+	}
 	a, err := agent.New(opts)
 	if err != nil {
 		return err
@@ -171,10 +217,19 @@
 	if err != nil {
 		return err
 	}
-	e, err := entry.New(entry.Options{
+	f.place(l.Addr().String(), p)
+	opts := entry.Options{
 		VM: fmt.Sprintf("entry-%d", i+1), Datacentre: p.Datacentre, Region: p.Region, Listener: l, Keys: f.keys,
-		Store: f.Client, List: platform.NewVMList(f.listURL, &http.Client{}), Logger: f.opts.Logger, BalancerGrace: demoGrace,
-	})
+		Store: f.store(p), List: platform.NewVMList(f.listURL, f.httpClient(p)), Logger: f.opts.Logger,
+		BalancerGrace: demoGrace, Policy: f.opts.Policy,
+	}
+	if f.opts.Network != nil {
+		opts.Dial = f.opts.Network.Dialer(p)
+	}
+	if f.opts.AdjustEntry != nil {
+		f.opts.AdjustEntry(&opts)
+	}
+	e, err := entry.New(opts)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/load/compare.go
@@ -0,0 +1,120 @@
+package load
+
+import (
+	"context"
+	"sort"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Comparison holds the runs of several variants, taken in turn for each seed,
+// so that the machine's noise falls on all of them.
+type Comparison struct {
+	Deployment string `json:"deployment"`
+	Runs       []*Run `json:"runs"`
+	// Spread is the summary of each variant over the seeds.
+	Summaries []Summary `json:"summaries"`
+}
+
+// Spread is the median of a figure over the seeds with its extremes.
+type Spread struct {
+	Median float64 `json:"median"`
+	Min    float64 `json:"min"`
+	Max    float64 `json:"max"`
+}
+
+// Summary is one variant's figures over all seeds.
+type Summary struct {
+	Label   string            `json:"label"`
+	Figures map[string]Spread `json:"figures"`
+}
+
+// metric is a figure of a run that summaries show.
+type metric struct {
+	name  string
+	value func(*Run) float64
+}
+
+// metrics are the summarised figures, in the order of reports.
+var metrics = []metric{
+	{"stall s", func(r *Run) float64 { return r.Figures.StallSeconds }},
+	{"preemptions", func(r *Run) float64 { return float64(r.Figures.Preemptions) }},
+	{"gap p95 ms", func(r *Run) float64 { return r.Figures.Gaps.P95 }},
+	{"gap p99 ms", func(r *Run) float64 { return r.Figures.Gaps.P99 }},
+	{"first p95 ms", func(r *Run) float64 { return r.Figures.First.P95 }},
+	{"first p99 ms", func(r *Run) float64 { return r.Figures.First.P99 }},
+	{"short wait p50 ms", func(r *Run) float64 { return r.Figures.Short.P50 }},
+	{"short wait p99 ms", func(r *Run) float64 { return r.Figures.Short.P99 }},
+	{"latency p99 ms", func(r *Run) float64 { return r.Figures.Latency.P99 }},
+	{"goodput tok/s", func(r *Run) float64 { return r.Figures.GoodputTokens }},
+	{"goodput / capacity", func(r *Run) float64 { return r.Figures.GoodputTokens / r.Capacity.Tokens }},
+	{"crest goodput / capacity", func(r *Run) float64 { return r.Figures.CrestGoodput / r.Capacity.Tokens }},
+	{"crest short p99 ms", func(r *Run) float64 { return r.Figures.CrestShort.P99 }},
+	{"first p95 after crest ms", func(r *Run) float64 { return r.Figures.AfterFirst.P95 }},
+	{"refused", func(r *Run) float64 { return float64(r.Figures.Refused) }},
+	{"refusal max ms", func(r *Run) float64 { return r.Figures.Refusals.Max }},
+	{"failed", func(r *Run) float64 { return float64(r.Figures.Failed) }},
+	{"cross-region kB", func(r *Run) float64 { return r.crossRegion() / 1000 }},
+	{"send lag p99 ms", func(r *Run) float64 { return r.Figures.SendLag.P99 }},
+}
+
+func (r *Run) crossRegion() float64 {
+	sum := 0.0
+	for _, n := range r.Figures.CrossRegion {
+		sum += float64(n)
+	}
+	return sum
+}
+
+// Compare carries the variants out in turn for each seed. After each run
+// report is called.
+func Compare(ctx context.Context, variants []Options, seeds []uint64, report func(*Run)) (*Comparison, error) {
+	if len(variants) == 0 {
+		return nil, errors.New("nothing to compare")
+	}
+	c := &Comparison{Deployment: variants[0].Deployment.Name}
+	for _, seed := range seeds {
+		for _, v := range variants {
+			v.Seed = seed
+			run, err := Do(ctx, v)
+			if err != nil {
+				return nil, err
+			}
+			if ctx.Err() != nil {
+				return nil, ctx.Err()
+			}
+			c.Runs = append(c.Runs, run)
+			report(run)
+		}
+	}
+	c.summarise()
+	return c, nil
+}
+
+func (c *Comparison) summarise() {
+	byLabel := map[string][]*Run{}
+	var labels []string
+	for _, r := range c.Runs {
+		if byLabel[r.Label] == nil {
+			labels = append(labels, r.Label)
+		}
+		byLabel[r.Label] = append(byLabel[r.Label], r)
+	}
+	for _, label := range labels {
+		s := Summary{Label: label, Figures: map[string]Spread{}}
+		for _, m := range metrics {
+			s.Figures[m.name] = spread(byLabel[label], m.value)
+		}
+		c.Summaries = append(c.Summaries, s)
+	}
+}
+
+func spread(runs []*Run, value func(*Run) float64) Spread {
+	values := make([]float64, len(runs))
+	for i, r := range runs {
+		values[i] = value(r)
+	}
+	sort.Float64s(values)
+	n := len(values)
+	return Spread{Median: (values[(n-1)/2] + values[n/2]) / 2, Min: values[0], Max: values[n-1]}
+}
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,67 @@
+package load
+
+import (
+	"context"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/quetzalglade/quetzalglade/decision"
+	"github.com/quetzalglade/quetzalglade/internal/standin"
+)
+
+func TestScheduleIsRepeatableAndOrdered(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := Pwani()
+		shape := Shape{
+			Rate: rapid.Float64Range(1, 200).Draw(t, "rate"), Duration: 5 * time.Second,
+			Swing: rapid.Float64Range(0, 0.9).Draw(t, "swing"), Crest: 2, CrestAt: time.Second, CrestFor: time.Second,
+		}
+		seed := rapid.Uint64().Draw(t, "seed")
+		one, two := Schedule(&d, shape, seed), Schedule(&d, shape, seed)
+		if !reflect.DeepEqual(one, two) {
+			t.Fatal("one seed gave two schedules")
+		}
+		for i := range one {
+			if one[i].At >= shape.Duration || (i > 0 && one[i].At < one[i-1].At) {
+				t.Fatalf("arrival %d at %v", i, one[i].At)
+			}
+		}
+	})
+}
+
+func TestCapacityFollowsMemory(t *testing.T) {
+	d := Pedalia()
+	e := standin.DefaultEngineOptions()
+	e.MaxBatch = 1000
+	e.Blocks = 100
+	small := CapacityOf(&d, e)
+	e.Blocks = 200
+	large := CapacityOf(&d, e)
+	if large.Batch < 1.9*small.Batch || large.Requests <= small.Requests {
+		t.Fatalf("capacity %+v with half of the memory of %+v", small, large)
+	}
+}
+
+// TestRunAccountsForEveryRequest runs a short load over an embedded fleet: each
+// request is answered whole, and its outcome is in exactly one account.
+func TestRunAccountsForEveryRequest(t *testing.T) {
+	e := standin.DefaultEngineOptions()
+	e.Base, e.PerSequence = 2*time.Millisecond, 50*time.Microsecond
+	run, err := Do(context.Background(), Options{
+		Deployment: Pedalia(), Policy: decision.PolicyLeastWork, Seed: 7, Load: 0.1,
+		Shape: Shape{Duration: time.Second, Swing: 0.5}, Drain: time.Minute, Engine: e, EngineSlots: 64, PlainSlots: 4,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := run.Figures
+	if f.Offered == 0 || f.Complete != f.Offered || f.Refused+f.Failed != 0 {
+		t.Fatalf("offered %d, complete %d, refused %d, failed %d: %v", f.Offered, f.Complete, f.Refused, f.Failed, f.Faults)
+	}
+	if f.CrossRegion["central>west"] == 0 {
+		t.Fatalf("no bytes between regions were counted: %v", f.CrossRegion)
+	}
+}
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -17,15 +17,27 @@
 
 // Plain is a booking service: POST has an effect, GET looks something up.
 type Plain struct {
-	// Delay is the time that a call takes.
-	Delay   time.Duration
 	mu      sync.Mutex
+	delay   time.Duration
 	effects []Effect
 	lookups int
 }
 
 // NewPlain returns a service whose calls take the delay.
-func NewPlain(delay time.Duration) *Plain { return &Plain{Delay: delay} }
+func NewPlain(delay time.Duration) *Plain { return &Plain{delay: delay} }
+
+// SetDelay changes the time that a call takes.
+func (p *Plain) SetDelay(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.delay = d
+}
+
+func (p *Plain) currentDelay() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.delay
+}
 
 // Effects returns what ran, in order.
 func (p *Plain) Effects() []Effect {
@@ -59,7 +71,7 @@
 		return
 	}
 	n := p.run(r, string(body))
-	time.Sleep(p.Delay)
+	time.Sleep(p.currentDelay())
 	writeJSON(w, map[string]string{"path": r.URL.Path, "reference": fmt.Sprintf("R-%d", n)})
 }
 
