Record the caller's request with admissions and keep each manifest

Cause: explain needs the request's id in the agent's admission records, and history and rollback need the manifests of earlier versions.

Ruled out: deriving the request from the attempt's id, which is random; a separate history service.

--- a/agent/call.go
+++ b/agent/call.go
@@ -48,6 +48,7 @@
 func (a *Agent) callJob(call *peer.Call, done chan<- *peer.Reply) *job {
 	now := time.Now()
 	return &job{
+		request: call.Request,
 		item: &decision.Item{
 			ID: call.ID, Workspace: call.Workspace, Service: call.Service,
 			Priority: call.Priority, Weight: call.Weight, Short: true,
--- a/agent/control.go
+++ b/agent/control.go
@@ -31,6 +31,8 @@
 // job is one attempt or call from its arrival to its end.
 type job struct {
 	item *decision.Item
+	// request is the caller's request, for decision records.
+	request string
 	// admit is called once, on the control goroutine, when the work may start.
 	admit func()
 	// refuse is called once if the work will never start.
@@ -132,7 +134,7 @@
 		j := c.state.jobs[it.ID]
 		j.began = true
 		c.agent.recorder.Record(telemetry.Decision{
-			Kind: telemetry.KindAdmit, Attempt: it.ID, Workspace: it.Workspace, Service: it.Service,
+			Kind: telemetry.KindAdmit, Request: j.request, Attempt: it.ID, Workspace: it.Workspace, Service: it.Service,
 			Target: c.agent.opts.VM, Choice: "start", Reason: "capacity",
 			TookMicros: now.Sub(it.Arrived).Microseconds(),
 		})
--- a/agent/server.go
+++ b/agent/server.go
@@ -108,6 +108,7 @@
 	}
 	now := time.Now()
 	j := &job{
+		request: attempt.Request,
 		item: &decision.Item{
 			ID: attempt.ID, Workspace: attempt.Workspace, Service: attempt.Service,
 			Priority: attempt.Priority, Weight: attempt.Weight, Short: attempt.Short,
--- a/configsync/follower.go
+++ b/configsync/follower.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +21,8 @@
 const (
 	ManifestKey    = "/quetzalglade/manifest"
 	DocumentPrefix = "/quetzalglade/documents/"
+	// HistoryPrefix holds a copy of each manifest under its version.
+	HistoryPrefix = "/quetzalglade/history/"
 )
 
 // Periods of the follower.
@@ -129,3 +132,9 @@
 	}
 	return docs, nil
 }
+
+// HistoryKey returns the key that keeps the manifest of a version. Keys sort
+// in the order of versions.
+func HistoryKey(version int64) string {
+	return fmt.Sprintf("%s%016d", HistoryPrefix, version)
+}
--- a/operator/publish.go
+++ b/operator/publish.go
@@ -69,7 +69,10 @@
 	}
 	res, err := store.Commit(ctx, platform.Txn{
 		Compares: []platform.Compare{{Key: configsync.ManifestKey, ModRevision: revision}},
-		Ops:      []platform.Op{{Key: configsync.ManifestKey, Value: data}},
+		Ops: []platform.Op{
+			{Key: configsync.ManifestKey, Value: data},
+			{Key: configsync.HistoryKey(m.Version), Value: data},
+		},
 	})
 	if err != nil {
 		return err
