Give operators check, publish, history, rollback, status, drain and explain

Cause: the tool could only publish; an operator could neither see what is in force or who lags, nor why a request went where it went.

Ruled out: a daemon of its own for status and explain.

Tested by the walk-through with real processes. It first failed: entries were missing from the VM list of the test fleet, so publish followed 3 of 4 processes.

--- a/agent/server.go
+++ b/agent/server.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -246,23 +245,5 @@
 }
 
 func (a *Agent) handleDecisions(w http.ResponseWriter, r *http.Request) {
-	q := r.URL.Query()
-	reply(w, a.recorder.Find(matchQuery(q.Get("request"), q.Get("attempt"), q.Get("generation"), q.Get("kind"))))
-}
-
-func matchQuery(request, attempt, generation, kind string) func(*telemetry.Decision) bool {
-	return func(d *telemetry.Decision) bool {
-		if kind != "" && string(d.Kind) != kind {
-			return false
-		}
-		if request == "" && attempt == "" && generation == "" {
-			return true
-		}
-		return matches(d.Request, request) || matches(d.Attempt, attempt) || matches(d.Generation, generation)
-	}
-}
-
-// matches reports whether a recorded id is the wanted one or derived from it.
-func matches(recorded, wanted string) bool {
-	return wanted != "" && strings.HasPrefix(recorded, wanted)
+	reply(w, a.recorder.Find(peer.ParseDecisionQuery(r.URL.Query()).Match))
 }
--- a/cmd/quetzalglade/main.go
+++ b/cmd/quetzalglade/main.go
@@ -7,13 +7,26 @@
 	"github.com/quetzalglade/quetzalglade/internal/command"
 )
 
-func main() {
+func main() { command.Main(rootCommand()) }
+
+func rootCommand() *cobra.Command {
+	c := &connection{}
 	root := &cobra.Command{
-		Use:           "quetzalglade",
-		Short:         "Operate a quetzalglade fleet",
+		Use:   "quetzalglade",
+		Short: "Operate a quetzalglade fleet",
+		Long: `Operate a quetzalglade fleet: check and publish declarations, look at the fleet,
+drain targets and explain what happened to a request.
+
+Exit codes: 0 success, 1 failure, 2 invalid declarations, 3 another publication
+was first, 4 not in force everywhere yet, 5 not found.`,
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(checkCommand(), publishCommand(), demoCommand(), versionCommand())
-	command.Main(root)
+	c.flags(root)
+	root.AddCommand(
+		checkCommand(), publishCommand(c), historyCommand(c), rollbackCommand(c),
+		statusCommand(c), drainCommand(c, true), drainCommand(c, false), explainCommand(c),
+		keyCommand(), demoCommand(), versionCommand(),
+	)
+	return root
 }
--- a/entry/server.go
+++ b/entry/server.go
@@ -6,13 +6,11 @@
 	"encoding/hex"
 	"encoding/json"
 	"net/http"
-	"strings"
 
 	"github.com/quetzalglade/quetzalglade/caller"
 	"github.com/quetzalglade/quetzalglade/config"
 	"github.com/quetzalglade/quetzalglade/peer"
 	"github.com/quetzalglade/quetzalglade/result"
-	"github.com/quetzalglade/quetzalglade/telemetry"
 )
 
 // handler serves callers, other processes, health and metrics.
@@ -100,10 +98,7 @@
 }
 
 func (e *Entry) handleDecisions(w http.ResponseWriter, r *http.Request) {
-	id := r.URL.Query().Get("request")
-	writeJSON(w, e.recorder.Find(func(d *telemetry.Decision) bool {
-		return id == "" || strings.HasPrefix(d.Request, id) || d.Generation == id
-	}))
+	writeJSON(w, e.recorder.Find(peer.ParseDecisionQuery(r.URL.Query()).Match))
 }
 
 func writeJSON(w http.ResponseWriter, v any) {
--- a/internal/command/daemon.go
+++ b/internal/command/daemon.go
@@ -54,11 +54,12 @@
 	return cmd
 }
 
-// Main runs a command line and ends the process with its exit code: 0 for
-// success, 1 for a failure.
+// Main runs a command line and ends the process with its exit code.
 func Main(cmd *cobra.Command) {
-	if err := cmd.ExecuteContext(context.Background()); err != nil {
+	cmd.SetOut(os.Stdout)
+	err := cmd.ExecuteContext(context.Background())
+	if err != nil {
 		cmd.PrintErrln("error:", err)
-		os.Exit(1)
 	}
+	os.Exit(ExitCode(err))
 }
--- /dev/null
+++ b/internal/command/exit.go
@@ -0,0 +1,41 @@
+package command
+
+import "github.com/cockroachdb/errors"
+
+// Exit codes of the operators' tool.
+const (
+	ExitFailure  = 1
+	ExitInvalid  = 2
+	ExitConflict = 3
+	ExitLagging  = 4
+	ExitNotFound = 5
+)
+
+// exitError is an error with an exit code.
+type exitError struct {
+	error
+	code int
+}
+
+// Unwrap returns the error without its code.
+func (e *exitError) Unwrap() error { return e.error }
+
+// WithExit attaches an exit code to an error; nil stays nil.
+func WithExit(err error, code int) error {
+	if err == nil {
+		return nil
+	}
+	return &exitError{error: err, code: code}
+}
+
+// ExitCode returns the exit code of an error, 0 for nil.
+func ExitCode(err error) int {
+	var e *exitError
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &e):
+		return e.code
+	}
+	return ExitFailure
+}
--- a/internal/faulttest/fleet_test.go
+++ b/internal/faulttest/fleet_test.go
@@ -174,6 +174,7 @@
 		vm, addr, fleetKey, f.storeProxy.addr(), f.listURL, o.entrySettings)
 	p := startDaemon(f.t, "quetzalglade-entry", vm, addr, text)
 	f.entries = append(f.entries, p)
+	f.vms.Put(platform.VM{Name: vm, Addr: addr, Role: platform.RoleEntry, State: platform.VMLive, Datacentre: "c1", Region: "central"})
 	return p
 }
 
--- a/operator/declaration.go
+++ b/operator/declaration.go
@@ -1,5 +1,6 @@
-// Package operator implements the operator's side: reading declarations,
-// checking them, and publishing them as the configuration in force.
+// Package operator implements the operator's side: reading and checking
+// declarations, publishing them as the configuration in force, and showing
+// what the fleet does and did.
 package operator
 
 import (
@@ -45,36 +46,68 @@
 	MaxConcurrent int      `ini:"max_concurrent"`
 }
 
-// Collect reads all declaration files below the directories. Every fault of
-// every file is returned at once, as settings.Faults.
+// Collect reads and checks all declaration files below the directories. Every
+// fault of every file is returned at once, as settings.Faults. Documents are
+// named by the path of their file below its directory.
 func Collect(dirs []string) ([]config.Document, error) {
-	var files []string
+	c := &collector{seen: map[string]position{}}
 	for _, dir := range dirs {
-		found, err := find(dir)
-		if err != nil {
+		if err := c.directory(dir); err != nil {
 			return nil, err
 		}
-		files = append(files, found...)
 	}
-	if len(files) == 0 {
+	if len(c.docs) == 0 {
 		return nil, errors.Newf("no %s below %s", FileName, strings.Join(dirs, ", "))
 	}
-	sort.Strings(files)
-	var docs []config.Document
-	var faults settings.Faults
+	c.checkReferences()
+	if len(c.faults) > 0 {
+		return nil, c.faults
+	}
+	return c.docs, nil
+}
+
+// position is where a section stands.
+type position struct {
+	file string
+	line int
+}
+
+// collector gathers documents and faults over all files.
+type collector struct {
+	docs   []config.Document
+	faults settings.Faults
+	// seen holds the sections of all files by name.
+	seen map[string]position
+	refs []reference
+}
+
+// reference is a workspace's mention of a service.
+type reference struct {
+	at      position
+	service string
+}
+
+func (c *collector) fault(at position, format string, args ...any) {
+	c.faults = append(c.faults, settings.Fault{File: at.file, Line: at.line, Message: fmt.Sprintf(format, args...)})
+}
+
+func (c *collector) directory(dir string) error {
+	files, err := find(dir)
+	if err != nil {
+		return err
+	}
 	for _, file := range files {
 		data, err := os.ReadFile(file)
 		if err != nil {
-			return nil, errors.Wrap(err, "read declaration")
+			return errors.Wrap(err, "read declaration")
 		}
-		doc, found := Parse(file, data)
-		faults = append(faults, found...)
-		docs = append(docs, doc)
-	}
-	if len(faults) > 0 {
-		return nil, faults
+		name, err := filepath.Rel(filepath.Dir(filepath.Clean(dir)), file)
+		if err != nil {
+			name = file
+		}
+		c.file(filepath.ToSlash(name), file, data)
 	}
-	return docs, nil
+	return nil
 }
 
 func find(dir string) ([]string, error) {
@@ -88,66 +121,57 @@
 		}
 		return nil
 	})
+	sort.Strings(files)
 	return files, errors.Wrap(err, "find declarations")
 }
 
-// Parse reads one declaration file as a document.
-func Parse(file string, data []byte) (config.Document, settings.Faults) {
+func (c *collector) file(name, file string, data []byte) {
 	sections, faults := settings.ReadSections(file, data)
-	doc := config.Document{Name: file}
+	c.faults = append(c.faults, faults...)
+	doc := config.Document{Name: name}
 	for i := range sections {
 		sec := &sections[i]
-		kind, name, ok := strings.Cut(sec.Name, " ")
-		switch {
-		case ok && kind == "service":
-			svc, found := parseService(sec, name)
-			faults = append(faults, found...)
-			doc.Services = append(doc.Services, svc)
-		case ok && kind == "workspace":
-			ws, found := parseWorkspace(sec, name)
-			faults = append(faults, found...)
-			doc.Workspaces = append(doc.Workspaces, ws)
-		default:
-			faults = append(faults, settings.Fault{File: file, Line: sec.Line, Message: fmt.Sprintf("section [%s] is neither [service NAME] nor [workspace NAME]", sec.Name)})
+		at := position{file: file, line: sec.Line}
+		if first, ok := c.seen[sec.Name]; ok {
+			c.fault(at, "[%s] stands here and at %s:%d", sec.Name, first.file, first.line)
+			continue
 		}
+		c.seen[sec.Name] = at
+		c.section(&doc, sec, at)
+	}
+	c.docs = append(c.docs, doc)
+}
+
+func (c *collector) section(doc *config.Document, sec *settings.Section, at position) {
+	kind, name, ok := strings.Cut(sec.Name, " ")
+	switch {
+	case ok && kind == "service":
+		doc.Services = append(doc.Services, c.service(sec, name, at))
+	case ok && kind == "workspace":
+		doc.Workspaces = append(doc.Workspaces, c.workspace(sec, name, at))
+	default:
+		c.fault(at, "section [%s] is neither [service NAME] nor [workspace NAME]", sec.Name)
 	}
-	return doc, faults
 }
 
-func parseService(sec *settings.Section, name string) (config.Service, settings.Faults) {
+func (c *collector) service(sec *settings.Section, name string, at position) config.Service {
 	var k serviceKeys
-	faults := sec.Decode(&k)
-	svc := config.Service{
+	c.faults = append(c.faults, sec.Decode(&k)...)
+	c.checkService(&k, name, at)
+	return config.Service{
 		Name: name, Kind: config.Kind(k.Kind), Model: k.Model, Adapter: k.Adapter, Role: k.Role,
 		Priority: k.Priority, Short: k.Short, IdempotentMethods: k.Idempotent, OnceMethods: k.Once,
 		MaxTokens: k.MaxTokens, MaxBody: k.MaxBody,
 		QueueMillis: k.Queue.Milliseconds(), TimeoutMillis: k.Timeout.Milliseconds(), ResumeMillis: k.Resume.Milliseconds(),
 	}
-	fault := func(message string) {
-		faults = append(faults, settings.Fault{File: sec.File, Line: sec.Line, Message: message})
-	}
-	switch {
-	case svc.Kind == config.KindModel && svc.Model == "":
-		fault("a model service needs a model")
-	case svc.Kind == config.KindPlain && svc.Role == "":
-		fault("a plain service needs a role")
-	case svc.Kind != config.KindModel && svc.Kind != config.KindPlain:
-		fault(fmt.Sprintf("kind is %q, not model or plain", k.Kind))
-	}
-	if k.Priority < 0 {
-		fault("priority is negative")
-	}
-	return svc, faults
 }
 
-func parseWorkspace(sec *settings.Section, name string) (config.Workspace, settings.Faults) {
+func (c *collector) workspace(sec *settings.Section, name string, at position) config.Workspace {
 	k := workspaceKeys{Weight: 1}
-	faults := sec.Decode(&k)
-	if len(k.KeyHashes) == 0 {
-		faults = append(faults, settings.Fault{File: sec.File, Line: sec.Line, Message: "a workspace needs key_hashes"})
-	}
-	if k.Weight < 1 {
-		faults = append(faults, settings.Fault{File: sec.File, Line: sec.Line, Message: "weight is below 1"})
+	c.faults = append(c.faults, sec.Decode(&k)...)
+	c.checkWorkspace(&k, name, at)
+	for _, s := range k.Services {
+		c.refs = append(c.refs, reference{at: at, service: s})
 	}
-	return config.Workspace{Name: name, Weight: k.Weight, KeyHashes: k.KeyHashes, Services: k.Services, MaxConcurrent: k.MaxConcurrent}, faults
+	return config.Workspace{Name: name, Weight: k.Weight, KeyHashes: k.KeyHashes, Services: k.Services, MaxConcurrent: k.MaxConcurrent}
 }
--- /dev/null
+++ b/operator/history.go
@@ -0,0 +1,65 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalglade/quetzalglade/config"
+	"github.com/quetzalglade/quetzalglade/configsync"
+	"github.com/quetzalglade/quetzalglade/platform"
+)
+
+// History returns the manifests that were published, latest first.
+func History(ctx context.Context, store platform.Store) ([]config.Manifest, error) {
+	kvs, _, err := store.Range(ctx, configsync.HistoryPrefix)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]config.Manifest, len(kvs))
+	for i, kv := range kvs {
+		if err := json.Unmarshal(kv.Value, &out[i]); err != nil {
+			return nil, errors.Wrapf(err, "manifest at %s", kv.Key)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Version > out[j].Version })
+	return out, nil
+}
+
+// InForce returns the manifest in force and its documents.
+func InForce(ctx context.Context, store platform.Store) (config.Manifest, []config.Document, error) {
+	m, _, err := Manifest(ctx, store)
+	if err != nil {
+		return m, nil, err
+	}
+	docs, err := configsync.Documents(ctx, store, &m)
+	return m, docs, err
+}
+
+// Version returns the documents of an earlier version.
+func Version(ctx context.Context, store platform.Store, version int64) ([]config.Document, error) {
+	kv, err := store.Get(ctx, configsync.HistoryKey(version))
+	if err != nil {
+		return nil, err
+	}
+	if kv == nil {
+		return nil, errors.Newf("version %d is not in the history", version)
+	}
+	var m config.Manifest
+	if err := json.Unmarshal(kv.Value, &m); err != nil {
+		return nil, errors.Wrap(err, "decode manifest")
+	}
+	return configsync.Documents(ctx, store, &m)
+}
+
+// Rollback publishes the documents of an earlier version as a new, higher one.
+func Rollback(ctx context.Context, store platform.Store, version int64, author string, now time.Time) (config.Manifest, error) {
+	docs, err := Version(ctx, store, version)
+	if err != nil {
+		return config.Manifest{}, err
+	}
+	return Publish(ctx, store, docs, author, now)
+}
--- /dev/null
+++ b/result/code_test.go
@@ -0,0 +1,50 @@
+package result
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// TestCodeTable checks docs/RESULT-CODES.md against the code, row by row.
+func TestCodeTable(t *testing.T) {
+	Convey("The page lists exactly the codes in use", t, func() {
+		page, err := os.ReadFile(filepath.Join("..", "docs", "RESULT-CODES.md"))
+		So(err, ShouldBeNil)
+		var rows []string
+		for _, line := range strings.Split(string(page), "\n") {
+			if strings.HasPrefix(line, "| ") && line[2] >= '0' && line[2] <= '9' {
+				rows = append(rows, line)
+			}
+		}
+		var want []string
+		for _, c := range All() {
+			want = append(want, fmt.Sprintf("| %d | `%s` | %d | %s | %s |", c, c.Name(), c.Status(), c.Retry(), c.Help()))
+		}
+		So(strings.Join(rows, "\n"), ShouldEqual, strings.Join(want, "\n"))
+	})
+}
+
+func TestErrorOnTheWire(t *testing.T) {
+	Convey("A written error is read back equal and suggests whole seconds", t, func() {
+		e := New(Overloaded, RanNo, "busy").RetryAfter(1200*time.Millisecond).ForGeneration("gen-a.b.c", 3)
+		w := httptest.NewRecorder()
+		Write(w, e)
+		So(w.Code, ShouldEqual, Overloaded.Status())
+		So(w.Header().Get("Retry-After"), ShouldEqual, "2")
+		So(Decode(w.Body.Bytes()), ShouldResemble, e)
+	})
+	Convey("An error without a number is internal with an unknown outcome", t, func() {
+		e := From(json.Unmarshal([]byte("{"), &struct{}{}))
+		So(e.Code, ShouldEqual, Internal)
+		So(e.Ran, ShouldEqual, RanUnknown)
+		So(From(nil), ShouldBeNil)
+	})
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -178,9 +178,11 @@
 	}
 }
 
-// Similar reports whether a is a likely misspelling of b: at most two edits.
+// Similar reports whether a is a likely misspelling of b: at most two edits,
+// and fewer than half of b's letters.
 func Similar(a, b string) bool {
-	return a != b && editDistance(strings.ToLower(a), strings.ToLower(b)) <= 2
+	d := editDistance(strings.ToLower(a), strings.ToLower(b))
+	return a != b && d <= 2 && 2*d < len(b)
 }
 
 func editDistance(a, b string) int {
