Measure decisions, tokens, first token and requests; keep reasons a bounded set

Cause: the metrics page was empty, and some decision records carried an error's text as their reason, which cannot label a metric.

Ruled out: one counter per call site. Each decision is counted where it is recorded, by kind and reason; free text moves to a detail field.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -90,7 +90,7 @@
 	a := &Agent{
 		opts:        opts,
 		incarnation: newIncarnation(),
-		recorder:    telemetry.NewRecorder(opts.Logger, decisionRing),
+		recorder:    telemetry.NewRecorder(opts.Logger, metrics, decisionRing),
 		metrics:     metrics,
 		generations: newTable(),
 	}
@@ -105,9 +105,18 @@
 		a.config = configsync.New(configsync.Options{Store: opts.Store, Logger: opts.Logger})
 	}
 	a.control = newControl(a)
+	a.registerGauges()
 	return a, nil
 }
 
+func (a *Agent) registerGauges() {
+	a.metrics.Gauge("running", "Requests in progress at the target.", func() int64 { return int64(a.State().Load.Running) })
+	a.metrics.Gauge("queued", "Requests waiting for the target.", func() int64 { return int64(a.State().Load.Queued) })
+	a.metrics.Gauge("slots", "Concurrency that is allowed now.", func() int64 { return int64(a.State().Load.Slots) })
+	a.metrics.Gauge("used_tokens", "Tokens in the target's memory.", func() int64 { return int64(a.State().Load.UsedTokens) })
+	a.metrics.Gauge("config_version", "Configuration version in force here.", func() int64 { return a.State().ConfigVersion })
+}
+
 func (o *Options) check() error {
 	if o.VM == "" || o.Listener == nil || len(o.Keys) == 0 {
 		return errors.New("agent: VM, listener and keys are required")
--- a/agent/call.go
+++ b/agent/call.go
@@ -71,18 +71,17 @@
 	defer cancel()
 	got, err := a.plain.Do(ctx, target.PlainCall{Method: call.Method, Path: call.Path, Header: call.Header, Body: call.Body})
 	out := &peer.Reply{ID: call.ID}
-	reason := "complete"
 	if err != nil {
 		out.Error = callFailure(err)
-		reason = err.Error()
 	} else {
 		out.Status, out.Header, out.Body = got.Status, got.Header, got.Body
 	}
 	a.finish(call.ID)
 	done <- out
+	reason, detail := outcome(err)
 	a.recorder.Record(telemetry.Decision{
 		Kind: telemetry.KindFinish, Request: call.Request, Attempt: call.ID, Workspace: call.Workspace,
-		Service: call.Service, Target: a.opts.VM, Choice: "end", Reason: reason,
+		Service: call.Service, Target: a.opts.VM, Choice: "end", Reason: reason, Detail: detail,
 		TookMicros: time.Since(started).Microseconds(), Version: call.ConfigVersion,
 	})
 }
--- a/agent/run.go
+++ b/agent/run.go
@@ -157,13 +157,18 @@
 }
 
 func (a *Agent) recordFinish(g *generation, attempt *peer.Attempt, err error, took time.Duration) {
-	reason := "complete"
-	if err != nil {
-		reason = err.Error()
-	}
+	reason, detail := outcome(err)
 	a.recorder.Record(telemetry.Decision{
 		Kind: telemetry.KindFinish, Request: attempt.Request, Attempt: attempt.ID, Generation: g.id,
 		Workspace: attempt.Workspace, Service: attempt.Service, Target: a.opts.VM,
-		Choice: "end", Reason: reason, TookMicros: took.Microseconds(), Version: attempt.ConfigVersion,
+		Choice: "end", Reason: reason, Detail: detail, TookMicros: took.Microseconds(), Version: attempt.ConfigVersion,
 	})
 }
+
+// outcome returns the reason word and the detail of an ended run.
+func outcome(err error) (reason, detail string) {
+	if err == nil {
+		return "complete", ""
+	}
+	return "failed", err.Error()
+}
--- a/cmd/quetzalglade/print.go
+++ b/cmd/quetzalglade/print.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -121,6 +122,9 @@
 			line += " " + part.name + "=" + part.value
 		}
 	}
+	if s.Detail != "" {
+		line += " detail=" + strconv.Quote(s.Detail)
+	}
 	if s.TookMicros > 0 {
 		line += " took=" + (time.Duration(s.TookMicros) * time.Microsecond).String()
 	}
--- a/entry/call.go
+++ b/entry/call.go
@@ -36,6 +36,7 @@
 		return
 	}
 	w.Header().Set(caller.HeaderRequestID, req.id)
+	defer e.observe(req)
 	reply, failure := e.call(w, r, req)
 	if failure != nil {
 		e.recordRefusal(req, failure)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/thejerf/suture/v4"
+	"go.opentelemetry.io/otel/metric"
 
 	"github.com/quetzalglade/quetzalglade/claim"
 	"github.com/quetzalglade/quetzalglade/configsync"
@@ -58,6 +59,10 @@
 	claims   *claim.Registry
 	stopping atomic.Bool
 
+	tokens     metric.Int64Counter
+	firstToken metric.Float64Histogram
+	duration   metric.Float64Histogram
+
 	routeMu sync.Mutex
 	router  *decision.Router
 	// sent counts the requests in progress by target VM.
@@ -83,9 +88,9 @@
 	}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: peerConnsPerHost}}
 	peers := peer.NewClient(client, opts.Keys)
-	return &Entry{
+	e := &Entry{
 		opts:     opts,
-		recorder: telemetry.NewRecorder(opts.Logger, decisionRing),
+		recorder: telemetry.NewRecorder(opts.Logger, metrics, decisionRing),
 		metrics:  metrics,
 		config:   configsync.New(configsync.Options{Store: opts.Store, Logger: opts.Logger}),
 		members:  membership.New(membership.Options{List: opts.List, Peers: peers, Logger: opts.Logger}),
@@ -93,7 +98,23 @@
 		claims:   claim.NewRegistry(opts.Store),
 		router:   decision.NewRouter(opts.Policy, opts.Datacentre, opts.Region),
 		sent:     map[string]int{},
-	}, nil
+	}
+	e.registerInstruments()
+	return e, nil
+}
+
+// Upper bounds of the histograms, in seconds.
+var (
+	firstTokenBounds = []float64{0.05, 0.1, 0.2, 0.45, 1, 2, 5, 10, 30}
+	requestBounds    = []float64{0.01, 0.05, 0.1, 0.5, 1, 5, 10, 60, 300, 1800}
+)
+
+func (e *Entry) registerInstruments() {
+	e.metrics.Gauge("usable_targets", "Targets that may get new work.", func() int64 { return int64(e.UsableTargets()) })
+	e.metrics.Gauge("config_version", "Configuration version in force here.", e.Version)
+	e.tokens = e.metrics.Counter("tokens", "Tokens delivered to callers.")
+	e.firstToken = e.metrics.Duration("first_token", "Time from a request's arrival to its first token.", firstTokenBounds...)
+	e.duration = e.metrics.Duration("request", "Time from a request's arrival to its end.", requestBounds...)
 }
 
 func (o *Options) check() error {
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -51,12 +51,18 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), g.service.Timeout())
 	defer cancel()
+	defer e.observe(req)
 	if failure := g.run(ctx); failure != nil {
 		g.responder.Fail(failure)
 		e.recordRefusal(req, failure)
 	}
 }
 
+// observe records the duration of a request that ends now.
+func (e *Entry) observe(req *request) {
+	e.duration.Record(context.Background(), time.Since(req.arrived).Seconds())
+}
+
 func (e *Entry) newGeneration(w http.ResponseWriter, r *http.Request, req *request, chat bool) (*generation, *result.Error) {
 	body, refusal := caller.ReadBody(w, r, maxCompletionBody)
 	if refusal != nil {
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -110,7 +110,7 @@
 		if f.Generation != rl.generation {
 			return nil, errCrossed
 		}
-		if err := deliver(rl.responder, &f); err != nil {
+		if err := e.deliver(rl, &f); err != nil {
 			return nil, err
 		}
 		if f.End != nil || f.Error != nil {
@@ -119,7 +119,9 @@
 	}
 }
 
-func deliver(r caller.Responder, f *peer.Frame) error {
+func (e *Entry) deliver(rl *relay, f *peer.Frame) error {
+	r := rl.responder
+	before := r.Delivered()
 	if f.Offset > r.Delivered() {
 		return errors.Newf("frame at %d, %d delivered", f.Offset, r.Delivered())
 	}
@@ -132,6 +134,10 @@
 	if err != nil {
 		return errors.Mark(err, errCallerGone)
 	}
+	if before == 0 && r.Delivered() > 0 {
+		e.firstToken.Record(context.Background(), time.Since(rl.request.arrived).Seconds())
+	}
+	e.tokens.Add(context.Background(), int64(r.Delivered()-before))
 	return nil
 }
 
@@ -167,6 +173,6 @@
 func (e *Entry) recordResume(rl *relay, err error) {
 	e.recorder.Record(telemetry.Decision{
 		Kind: telemetry.KindResume, Request: rl.request.id, Generation: rl.generation, Workspace: rl.request.workspace.Name,
-		Target: rl.vm, Choice: "resume the stream", Reason: err.Error(), Version: rl.request.config.Version,
+		Target: rl.vm, Choice: "resume the stream", Reason: "agent_stream_broken", Detail: err.Error(), Version: rl.request.config.Version,
 	})
 }
--- a/entry/server.go
+++ b/entry/server.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/quetzalglade/quetzalglade/caller"
 	"github.com/quetzalglade/quetzalglade/config"
@@ -42,6 +43,7 @@
 // request is a caller's request after authentication.
 type request struct {
 	id        string
+	arrived   time.Time
 	config    *config.Config
 	workspace *config.Workspace
 	service   *config.Service
@@ -66,7 +68,7 @@
 	if ws == nil {
 		return nil, result.New(result.Unauthenticated, result.RanNo, "missing or invalid key")
 	}
-	return &request{id: newID("req-"), config: cfg, workspace: ws}, nil
+	return &request{id: newID("req-"), arrived: time.Now(), config: cfg, workspace: ws}, nil
 }
 
 // choose attaches the named service. A service that the workspace may not use
--- a/telemetry/decision.go
+++ b/telemetry/decision.go
@@ -1,10 +1,13 @@
 package telemetry
 
 import (
+	"context"
 	"sync"
 	"time"
 
 	"github.com/go-kit/log"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
 )
 
 // DecisionKind classifies a logged decision.
@@ -48,9 +51,12 @@
 	Workspace  string       `json:"workspace,omitempty"`
 	Service    string       `json:"service,omitempty"`
 	Target     string       `json:"target,omitempty"`
-	// Choice is what was decided, Reason a short stable word for why.
-	Choice     string      `json:"choice"`
-	Reason     string      `json:"reason"`
+	// Choice is what was decided, Reason a short stable word for why; reasons
+	// are a bounded set, since they label a metric.
+	Choice string `json:"choice"`
+	Reason string `json:"reason"`
+	// Detail is free text for readers, such as the message of an error.
+	Detail     string      `json:"detail,omitempty"`
 	Candidates []Candidate `json:"candidates,omitempty"`
 	// TookMicros is the time the decision or the step it ends took.
 	TookMicros int64 `json:"took_us,omitempty"`
@@ -61,15 +67,21 @@
 // any goroutine.
 type Recorder struct {
 	logger log.Logger
+	count  metric.Int64Counter
 	mu     sync.Mutex
 	ring   []Decision
 	next   int
 	full   bool
 }
 
-// NewRecorder returns a recorder that keeps the last size decisions.
-func NewRecorder(logger log.Logger, size int) *Recorder {
-	return &Recorder{logger: logger, ring: make([]Decision, size)}
+// NewRecorder returns a recorder that keeps the last size decisions and counts
+// all of them by kind and reason.
+func NewRecorder(logger log.Logger, metrics *Metrics, size int) *Recorder {
+	return &Recorder{
+		logger: logger,
+		count:  metrics.Counter("decisions", "Routing, admission and placement decisions by kind and reason."),
+		ring:   make([]Decision, size),
+	}
 }
 
 // Record logs d and keeps it. A zero time is set to now.
@@ -78,10 +90,12 @@
 		d.Time = time.Now()
 	}
 	r.keep(d)
+	r.count.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("kind", string(d.Kind)), attribute.String("reason", d.Reason)))
 	Info(r.logger, "decision",
 		"kind", d.Kind, "request", d.Request, "attempt", d.Attempt, "generation", d.Generation,
 		"workspace", d.Workspace, "service", d.Service, "target", d.Target,
-		"choice", d.Choice, "reason", d.Reason, "candidates", d.Candidates,
+		"choice", d.Choice, "reason", d.Reason, "detail", d.Detail, "candidates", d.Candidates,
 		"took_us", d.TookMicros, "config_version", d.Version)
 }
 
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
@@ -41,3 +42,26 @@
 	}
 	return c
 }
+
+// Gauge registers a gauge that is read by f when metrics are collected.
+// Invalid names are programming errors and panic.
+func (m *Metrics) Gauge(name, help string, f func() int64) {
+	observe := func(_ context.Context, o metric.Int64Observer) error {
+		o.Observe(f())
+		return nil
+	}
+	_, err := m.Int64ObservableGauge(name, metric.WithDescription(help), metric.WithInt64Callback(observe))
+	if err != nil {
+		panic(err)
+	}
+}
+
+// Duration returns a histogram of durations in seconds with the given upper
+// bounds. Invalid names are programming errors and panic.
+func (m *Metrics) Duration(name, help string, bounds ...float64) metric.Float64Histogram {
+	h, err := m.Float64Histogram(name, metric.WithDescription(help), metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(bounds...))
+	if err != nil {
+		panic(err)
+	}
+	return h
+}
