--- a/entry/server.go
+++ b/entry/server.go
@@ -6,13 +6,12 @@
 	"encoding/hex"
 	"encoding/json"
 	"net/http"
-	"strings"
+	"time"
 
 	"github.com/quetzalglade/quetzalglade/caller"
 	"github.com/quetzalglade/quetzalglade/config"
 	"github.com/quetzalglade/quetzalglade/peer"
 	"github.com/quetzalglade/quetzalglade/result"
-	"github.com/quetzalglade/quetzalglade/telemetry"
 )
 
 // handler serves callers, other processes, health and metrics.
@@ -45,6 +44,7 @@
 // request is a caller's request after authentication.
 type request struct {
 	id        string
+	arrived   time.Time
 	config    *config.Config
 	workspace *config.Workspace
 	service   *config.Service
@@ -69,7 +69,7 @@
 	if ws == nil {
 		return nil, result.New(result.Unauthenticated, result.RanNo, "missing or invalid key")
 	}
-	return &request{id: newID("req-"), config: cfg, workspace: ws}, nil
+	return &request{id: newID("req-"), arrived: time.Now(), config: cfg, workspace: ws}, nil
 }
 
 // choose attaches the named service. A service that the workspace may not use
@@ -101,10 +101,7 @@
 }
 
 func (e *Entry) handleDecisions(w http.ResponseWriter, r *http.Request) {
-	id := r.URL.Query().Get("request")
-	writeJSON(w, e.recorder.Find(func(d *telemetry.Decision) bool {
-		return id == "" || strings.HasPrefix(d.Request, id) || d.Generation == id
-	}))
+	writeJSON(w, e.recorder.Find(peer.ParseDecisionQuery(r.URL.Query()).Match))
 }
 
 func writeJSON(w http.ResponseWriter, v any) {
