Refuse to guess when a process or the store is gone during a call

And a repeat during a store outage, or at an entry without a configuration yet, said "not run" though an earlier request with the key had taken effect at a target that was gone.

Change: "replaced" on a second try is an unknown outcome. Without the store only an agent that knows the key answers for it; otherwise the refusal says unknown, unless the caller states with Idempotency-First that it never sent the key.

Ruled out: "not run" if every known agent denies the key.

The expectation of TestOnceCallerKey in an outage became stricter: unknown without the header, not run with it.

--- a/caller/request.go
+++ b/caller/request.go
@@ -18,9 +18,13 @@
 // Headers of the interface.
 const (
 	HeaderIdempotencyKey = "Idempotency-Key"
-	HeaderLastEventID    = "Last-Event-ID"
-	HeaderRequestID      = "X-Request-Id"
-	HeaderGenerationID   = "X-Generation-Id"
+	// HeaderIdempotencyFirst set to "true" says that the caller has not sent the
+	// key before, so that a refusal without a look-up of the key can say that
+	// the call did not run.
+	HeaderIdempotencyFirst = "Idempotency-First"
+	HeaderLastEventID      = "Last-Event-ID"
+	HeaderRequestID        = "X-Request-Id"
+	HeaderGenerationID     = "X-Generation-Id"
 )
 
 // Completion is a validated request for a generation.
--- a/entry/call.go
+++ b/entry/call.go
@@ -21,12 +21,14 @@
 	entry      *Entry
 	message    peer.Call
 	idempotent bool
+	// first is set if the caller has not sent its key before.
+	first bool
 }
 
 func (e *Entry) handleCall(w http.ResponseWriter, r *http.Request) {
 	req, refusal := e.authenticate(r)
 	if refusal != nil {
-		result.Write(w, refusal)
+		result.Write(w, beforeLookup(r, refusal))
 		return
 	}
 	w.Header().Set(caller.HeaderRequestID, req.id)
@@ -69,6 +71,7 @@
 	if key == "" {
 		return nil, result.New(result.KeyRequired, result.RanNo, "this call needs an Idempotency-Key")
 	}
+	c.first = isFirst(r)
 	return c.runOnce(r.Context(), key)
 }
 
--- a/entry/issued.go
+++ b/entry/issued.go
@@ -97,30 +97,25 @@
 )
 
 // withoutStore ends a call whose key could not be claimed. Nothing was sent for
-// this request; the agents tell whether an earlier one with the key ran.
+// this request, but an earlier one with the key may have run at a target that
+// is gone: only its caller can rule that out.
 func (o *claimedCall) withoutStore(ctx context.Context) verdict {
-	unknown := result.New(result.StoreUnavailable, result.RanUnknown,
-		"this request was not started, but an earlier one with its key may have been").RetryAfter(retryNoTarget)
-	members := o.entry.serving(o.service)
-	if len(members) > maxAsked {
-		return refused(unknown)
-	}
-	all := true
-	for _, out := range o.ask(ctx, members) {
-		switch {
-		case out.Fate == peer.FateWithdrawn:
-		case out.Fate == "":
-			all = false
-		case out.Fingerprint != o.fingerprint:
-			return refused(keyReused())
-		default:
-			return fate(&out)
+	if members := o.entry.serving(o.service); !o.first && len(members) <= maxAsked {
+		for _, out := range o.ask(ctx, members) {
+			switch {
+			case out.Fate != peer.FateEnded && out.Fate != peer.FateRunning:
+			case out.Fingerprint != o.fingerprint:
+				return refused(keyReused())
+			default:
+				return fate(&out)
+			}
 		}
 	}
-	if !all {
-		return refused(unknown)
+	ran := result.RanUnknown
+	if o.first {
+		ran = result.RanNo
 	}
-	return refused(result.New(result.StoreUnavailable, result.RanNo, "the claim could not be written").RetryAfter(retryNoTarget))
+	return refused(result.New(result.StoreUnavailable, ran, "the key could not be claimed; this request was not started").RetryAfter(retryNoTarget))
 }
 
 // ask asks targets for a call by its key. Who does not answer has no fate.
@@ -143,6 +138,18 @@
 	return outcomes
 }
 
+// beforeLookup returns the refusal of a call that came before its key could be
+// looked up: an earlier request with the key may have run.
+func beforeLookup(r *http.Request, refusal *result.Error) *result.Error {
+	if refusal.Code == result.ConfigurationAbsent && r.Header.Get(caller.HeaderIdempotencyKey) != "" && !isFirst(r) {
+		return refusal.WithRan(result.RanUnknown)
+	}
+	return refusal
+}
+
+// isFirst reports whether the caller has not sent the key before.
+func isFirst(r *http.Request) bool { return r.Header.Get(caller.HeaderIdempotencyFirst) == "true" }
+
 // serving returns every known target of a service, live or not.
 func (e *Entry) serving(svc *config.Service) []*membership.Member {
 	view := e.members.View()
--- a/entry/once.go
+++ b/entry/once.go
@@ -223,6 +223,8 @@
 	defer cancel()
 	cur, err := o.entry.claims.Get(limit, o.key)
 	switch {
+	case err != nil && o.first:
+		return nil, refusal
 	case err != nil:
 		return nil, refusal.WithRan(result.RanUnknown)
 	case cur == nil:
@@ -275,6 +277,9 @@
 			return reply, nil
 		case err == nil && reply.ID == msg.ID:
 			return nil, reply.Error
+		case errors.As(err, &refusal) && try > 0 && refusal.Code == result.TargetLeaving:
+			// The process that got the first message is gone.
+			return nil, targetGone()
 		case errors.As(err, &refusal):
 			return nil, refusal
 		case errors.Is(err, syscall.ECONNREFUSED) && try == 0:
--- a/internal/faulttest/caller_test.go
+++ b/internal/faulttest/caller_test.go
@@ -127,13 +127,20 @@
 
 // invoke makes a call to a plain service through an entry.
 func invoke(ctx context.Context, addr, method, path, key, body string) (status int, text string, failure *result.Error, err error) {
+	return invokeWith(ctx, addr, method, path, body, map[string]string{caller.HeaderIdempotencyKey: key})
+}
+
+// invokeWith makes a call with headers; empty ones are left out.
+func invokeWith(ctx context.Context, addr, method, path, body string, header map[string]string) (status int, text string, failure *result.Error, err error) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, strings.NewReader(body))
 	if err != nil {
 		return 0, "", nil, err
 	}
 	req.Header.Set("Authorization", "Bearer "+callerKey)
-	if key != "" {
-		req.Header.Set(caller.HeaderIdempotencyKey, key)
+	for name, value := range header {
+		if value != "" {
+			req.Header.Set(name, value)
+		}
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
--- a/internal/faulttest/once_test.go
+++ b/internal/faulttest/once_test.go
@@ -12,6 +12,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/quetzalglade/quetzalglade/caller"
 	"github.com/quetzalglade/quetzalglade/claim"
 	"github.com/quetzalglade/quetzalglade/internal/standin"
 	"github.com/quetzalglade/quetzalglade/result"
@@ -25,8 +26,13 @@
 	text    string
 	failure *result.Error
 	err     error
+	// had is set if the call had taken effect before this try.
+	had bool
 }
 
+// saysNotRun reports whether the reply denies that the call ran.
+func (r onceReply) saysNotRun() bool { return r.failure != nil && r.failure.Ran == result.RanNo }
+
 func (r onceReply) ok() bool { return r.err == nil && r.status == http.StatusOK }
 
 // deposit sends a call whose body names its key, so that its effects are told
@@ -43,8 +49,11 @@
 func (f *fleet) insist(ctx context.Context, first int, key string, tries int) []onceReply {
 	var got []onceReply
 	for i := range tries {
-		got = append(got, deposit(ctx, f.entries[(first+i)%len(f.entries)].addr, key))
-		if got[i].ok() {
+		had := f.effects(key) > 0
+		r := deposit(ctx, f.entries[(first+i)%len(f.entries)].addr, key)
+		r.had = had
+		got = append(got, r)
+		if r.ok() {
 			break
 		}
 		time.Sleep(100 * time.Millisecond)
@@ -133,16 +142,21 @@
 		So(f.effects("slow"), ShouldEqual, 1)
 	})
 	Convey("The store is down: new keys are refused, earlier ones answered", t, func() {
-		first := deposit(ctx, f.entries[0].addr, "earlier")
+		earlier := deposit(ctx, f.entries[0].addr, "earlier")
 		f.store.SetFaults(standin.StoreFaults{Down: true})
 		fresh := deposit(ctx, f.entries[0].addr, "fresh")
+		_, _, first, err := invokeWith(ctx, f.entries[0].addr, http.MethodPost, depositPath, depositBody("fresh"),
+			map[string]string{caller.HeaderIdempotencyKey: "fresh", caller.HeaderIdempotencyFirst: "true"})
+		So(err, ShouldBeNil)
 		repeated := deposit(ctx, f.entries[1].addr, "earlier")
 		f.store.SetFaults(standin.StoreFaults{})
 		So(fresh.failure, ShouldNotBeNil)
 		So(fresh.failure.Code, ShouldEqual, result.StoreUnavailable)
-		So(fresh.failure.Ran, ShouldEqual, result.RanNo)
+		So(fresh.failure.Ran, ShouldEqual, result.RanUnknown)
+		So(first.Code, ShouldEqual, result.StoreUnavailable)
+		So(first.Ran, ShouldEqual, result.RanNo)
 		So(f.effects("fresh"), ShouldEqual, 0)
-		So(repeated.text, ShouldEqual, first.text)
+		So(repeated.text, ShouldEqual, earlier.text)
 		got := f.insist(ctx, 0, "fresh", 50)
 		So(got[len(got)-1].ok(), ShouldBeTrue)
 		So(f.effects("fresh"), ShouldEqual, 1)
