--- a/peer/client.go
+++ b/peer/client.go
@@ -24,8 +24,10 @@
 // goroutine. A transport failure is returned as is; a refusal by the other
 // process is a *result.Error.
 type Client struct {
-	http *http.Client
-	keys Keys
+	http     *http.Client
+	keys     Keys
+	versions Versions
+	self     string
 }
 
 // NewClient returns a client that signs with the first key.
@@ -143,10 +145,12 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	c.keys.Sign(req)
+	c.announce(req)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, errors.Wrap(err, "peer")
 	}
+	c.observe(addr, resp.Header)
 	if resp.StatusCode == http.StatusOK {
 		return resp, nil
 	}
