Follow the configuration through watchers and work with subsets of targets

Cause: every process watched the store and every entry asked every target twice a second, so that store calls and control cost grew with the fleet; a process that started in a store outage stayed without a configuration; a manifest that could not be built broke the watch again and again.

Entries listen to a stream of heartbeats from a subset of the targets; a question is asked of the others at a fixed rate. The incarnation and the address decide whether what was heard belongs to the VM.

Ruled out: polling each target by request and reply (about 0.9 KB each; the stream costs about a quarter), a manifest tree (a manifest of 1,400 documents fits in a fifth of the store's value limit).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -101,9 +101,7 @@
 	} else {
 		a.plain = target.NewPlain(opts.PlainURL, client)
 	}
-	if opts.Store != nil {
-		a.config = configsync.New(configsync.Options{Store: opts.Store, Logger: opts.Logger})
-	}
+	a.config = newFollower(&opts)
 	a.control = newControl(a)
 	return a, nil
 }
@@ -146,7 +144,7 @@
 	if a.engine != nil {
 		core.Add(&engineProbe{agent: a})
 	}
-	if a.config != nil {
+	if a.opts.Store != nil {
 		core.Add(a.config)
 	}
 	core.Add(httpserve.New("agent peers", a.opts.Listener, a.handler(), a.opts.DrainLimit))
@@ -198,12 +196,7 @@
 // State returns what the agent tells other processes of itself.
 func (a *Agent) State() peer.State { return *a.state.Load() }
 
-func (a *Agent) configuration() *config.Config {
-	if a.config == nil {
-		return nil
-	}
-	return a.config.Current()
-}
+func (a *Agent) configuration() *config.Config { return a.config.Current() }
 
 func (a *Agent) logEvent(e suture.Event) {
 	telemetry.Warn(a.opts.Logger, "supervisor event", "event", e.String())
--- a/config/config.go
+++ b/config/config.go
@@ -102,9 +102,11 @@
 // Manifest lists the documents of one version of the configuration. Versions
 // only grow; a process never adopts a lower one.
 type Manifest struct {
-	Version   int64         `json:"version"`
-	Author    string        `json:"author"`
-	Published time.Time     `json:"published"`
+	Version   int64     `json:"version"`
+	Author    string    `json:"author"`
+	Published time.Time `json:"published"`
+	// Nonce tells this publication from every other one.
+	Nonce     string        `json:"nonce,omitempty"`
 	Documents []DocumentRef `json:"documents"`
 }
 
--- a/configsync/follower.go
+++ b/configsync/follower.go
@@ -1,11 +1,14 @@
-// Package configsync keeps a process at the configuration in force. A process
-// adopts only higher versions.
+// Package configsync keeps a process at the configuration in force. A few
+// processes of each region hold the store's watch; the others follow them, and
+// every message between processes shows the version of its sender, so that a
+// higher one is fetched from whoever showed it. A process adopts only higher
+// versions.
 package configsync
 
 import (
 	"context"
 	"encoding/json"
-	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,128 +16,219 @@
 	"github.com/go-kit/log"
 
 	"github.com/quetzalglade/quetzalglade/config"
+	"github.com/quetzalglade/quetzalglade/peer"
 	"github.com/quetzalglade/quetzalglade/platform"
 	"github.com/quetzalglade/quetzalglade/telemetry"
 )
 
-// Keys of the configuration in the store.
-const (
-	ManifestKey    = "/quetzalglade/manifest"
-	DocumentPrefix = "/quetzalglade/documents/"
-	// HistoryPrefix holds a copy of each manifest under its version.
-	HistoryPrefix = "/quetzalglade/history/"
-)
-
-// Periods of the follower.
-const (
-	retryDelay = time.Second
-)
+// Peers asks other processes for their configuration; *peer.Client implements
+// it.
+type Peers interface {
+	Config(ctx context.Context, addr string, above int64, wait time.Duration) (peer.Manifest, error)
+	Documents(ctx context.Context, addr string, digests []string) ([][]byte, error)
+}
 
 // Options configure a Follower.
 type Options struct {
 	Store  platform.Store
 	Logger log.Logger
+	// Peers asks other processes; nil reads only the store.
+	Peers Peers
+	// VMs returns the VMs of the fleet as they are known now. Nil means that
+	// this process never watches the store and learns from messages.
+	VMs func() []platform.VM
+	// VM and Region tell where this process runs.
+	VM     string
+	Region string
 }
 
-// Follower is a suture service that follows the manifest in the store.
+// Follower is a suture service. Current, Version and Saw may be called from
+// any goroutine.
 type Follower struct {
 	opts    Options
-	current atomic.Pointer[config.Config]
+	current atomic.Pointer[snapshot]
+	shown   chan shown
+	failing *suspects
+
+	mu sync.Mutex
+	// refused is the highest version that could not be built.
+	refused int64
+	// changed is closed when a higher version is adopted.
+	changed chan struct{}
+}
+
+// snapshot is one version with the bytes that other processes ask for.
+type snapshot struct {
+	raw       []byte
+	config    *config.Config
+	documents map[string][]byte
 }
 
+// shown is a higher version that another process showed.
+type shown struct {
+	version int64
+	addr    string
+}
+
+// shownBacklog bounds the versions seen and not yet looked at. A version that
+// does not fit is shown again by the next message.
+const shownBacklog = 16
+
 // New returns a follower without a configuration.
-func New(opts Options) *Follower { return &Follower{opts: opts} }
+func New(opts Options) *Follower {
+	if opts.Logger == nil {
+		opts.Logger = log.NewNopLogger()
+	}
+	return &Follower{
+		opts: opts, shown: make(chan shown, shownBacklog), changed: make(chan struct{}), failing: newSuspects(),
+	}
+}
+
+var _ peer.Versions = (*Follower)(nil)
 
 // Current returns the configuration in force here, or nil before the first.
-func (f *Follower) Current() *config.Config { return f.current.Load() }
+func (f *Follower) Current() *config.Config {
+	if s := f.current.Load(); s != nil {
+		return s.config
+	}
+	return nil
+}
+
+// Version implements peer.Versions.
+func (f *Follower) Version() int64 {
+	if s := f.current.Load(); s != nil {
+		return s.config.Version
+	}
+	return 0
+}
+
+// Saw implements peer.Versions: the version is fetched from addr soon.
+func (f *Follower) Saw(version int64, addr string) {
+	if version <= f.Version() {
+		return
+	}
+	select {
+	case f.shown <- shown{version, addr}:
+	default:
+	}
+}
 
 // Serve implements suture.Service.
 func (f *Follower) Serve(ctx context.Context) error {
-	for ctx.Err() == nil {
-		err := f.follow(ctx)
-		if ctx.Err() != nil {
-			break
-		}
-		telemetry.Warn(f.opts.Logger, "configuration watch interrupted", "err", err)
-		select {
-		case <-time.After(retryDelay):
-		case <-ctx.Done():
-		}
+	var wg sync.WaitGroup
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		f.fetchShown(ctx)
+	}()
+	if f.opts.VMs == nil {
+		f.awaitMessages(ctx)
+	} else {
+		f.keep(ctx)
 	}
+	wg.Wait()
 	return ctx.Err()
 }
 
-// follow reads the manifest, then watches it until the watch ends.
-func (f *Follower) follow(ctx context.Context) error {
-	kvs, revision, err := f.opts.Store.Range(ctx, ManifestKey)
-	if err != nil {
-		return err
-	}
-	for _, kv := range kvs {
-		if err := f.adopt(ctx, kv.Value); err != nil {
-			return err
-		}
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	for batch := range f.opts.Store.Watch(ctx, ManifestKey, revision+1) {
-		if batch.Err != nil {
-			return batch.Err
-		}
-		for _, e := range batch.Events {
-			if e.Deleted {
+// fetchShown fetches the versions that other processes showed.
+func (f *Follower) fetchShown(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-f.shown:
+			if s.version <= f.Version() || s.version <= f.refusedVersion() || f.opts.Peers == nil {
 				continue
 			}
-			if err := f.adopt(ctx, e.KV.Value); err != nil {
-				return err
+			if err := f.fetchFrom(ctx, s.addr, 0); err != nil && ctx.Err() == nil {
+				telemetry.Warn(f.opts.Logger, "configuration not fetched", "peer", s.addr, "config_version", s.version, "err", err)
 			}
 		}
 	}
-	return errors.New("watch closed")
 }
 
-// adopt puts a manifest into force here if its version is higher.
-func (f *Follower) adopt(ctx context.Context, data []byte) error {
+// fetchFrom adopts the version of the process at addr. It waits there for a
+// higher one, at most for the given time.
+func (f *Follower) fetchFrom(ctx context.Context, addr string, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+peerTimeout)
+	defer cancel()
+	above := max(f.Version(), f.refusedVersion())
+	m, err := f.opts.Peers.Config(ctx, addr, above, wait)
+	if err != nil || len(m.Data) == 0 {
+		return err
+	}
+	return f.adopt(ctx, m.Data, peerSource{f.opts.Peers, addr})
+}
+
+func (f *Follower) refusedVersion() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.refused
+}
+
+// errRefused marks a configuration that cannot be built.
+var errRefused = errors.New("configuration cannot be built")
+
+// adopt puts a manifest into force here if its version is higher. A manifest
+// that cannot be built is refused for good; one whose documents cannot be
+// fetched now is not.
+func (f *Follower) adopt(ctx context.Context, raw []byte, sources ...source) error {
 	var m config.Manifest
-	if err := json.Unmarshal(data, &m); err != nil {
+	if err := json.Unmarshal(raw, &m); err != nil {
 		return errors.Wrap(err, "decode manifest")
 	}
-	if cur := f.current.Load(); cur != nil && m.Version <= cur.Version {
+	if m.Version <= f.Version() || m.Version <= f.refusedVersion() {
 		return nil
 	}
-	docs, err := Documents(ctx, f.opts.Store, &m)
+	documents, err := f.collect(ctx, &m, sources)
 	if err != nil {
 		return err
 	}
-	cfg, err := config.Build(m.Version, docs)
+	next, err := build(raw, &m, documents)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m.Version <= f.Version() || m.Version <= f.refused {
+		return nil
+	}
 	if err != nil {
-		return err
+		f.refused = m.Version
+		telemetry.Warn(f.opts.Logger, "configuration refused", "config_version", m.Version, "in_force", f.Version(), "err", err)
+		return nil
 	}
-	f.current.Store(cfg)
+	f.current.Store(next)
+	close(f.changed)
+	f.changed = make(chan struct{})
 	telemetry.Info(f.opts.Logger, "configuration in force", "config_version", m.Version)
 	return nil
 }
 
-// Documents fetches the documents of a manifest.
-func Documents(ctx context.Context, store platform.Store, m *config.Manifest) ([]config.Document, error) {
+func build(raw []byte, m *config.Manifest, documents map[string][]byte) (*snapshot, error) {
 	docs := make([]config.Document, len(m.Documents))
 	for i, ref := range m.Documents {
-		kv, err := store.Get(ctx, DocumentPrefix+ref.Digest)
-		if err != nil {
-			return nil, err
-		}
-		if kv == nil {
-			return nil, errors.Newf("document %q is missing in the store", ref.Name)
-		}
-		if err := json.Unmarshal(kv.Value, &docs[i]); err != nil {
-			return nil, errors.Wrapf(err, "document %q", ref.Name)
+		if err := json.Unmarshal(documents[ref.Digest], &docs[i]); err != nil {
+			return nil, errors.Mark(errors.Wrapf(err, "document %q", ref.Name), errRefused)
 		}
 	}
-	return docs, nil
+	cfg, err := config.Build(m.Version, docs)
+	if err != nil {
+		return nil, errors.Mark(err, errRefused)
+	}
+	return &snapshot{raw: raw, config: cfg, documents: documents}, nil
 }
 
-// HistoryKey returns the key that keeps the manifest of a version. Keys sort
-// in the order of versions.
-func HistoryKey(version int64) string {
-	return fmt.Sprintf("%s%016d", HistoryPrefix, version)
+// await returns when the version in force is above the given one, or ctx ends.
+func (f *Follower) await(ctx context.Context, above int64) {
+	for {
+		f.mu.Lock()
+		changed := f.changed
+		f.mu.Unlock()
+		if f.Version() > above {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
 }
--- /dev/null
+++ b/configsync/handler.go
@@ -0,0 +1,67 @@
+package configsync
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/quetzalglade/quetzalglade/peer"
+	"github.com/quetzalglade/quetzalglade/result"
+)
+
+// Limits of the questions of other processes.
+const (
+	maxWait         = 10 * time.Second
+	maxRequestBytes = 64 << 10
+)
+
+// Register serves the questions of other processes for the configuration in
+// force here. The caller authenticates them.
+func (f *Follower) Register(mux *http.ServeMux) {
+	mux.HandleFunc("GET "+peer.PathConfig, f.handleManifest)
+	mux.HandleFunc("POST "+peer.PathDocuments, f.handleDocuments)
+}
+
+func (f *Follower) handleManifest(w http.ResponseWriter, r *http.Request) {
+	above, err := strconv.ParseInt(r.URL.Query().Get("above"), 10, 64)
+	if err != nil {
+		result.Write(w, result.New(result.InvalidRequest, result.RanNo, "invalid version"))
+		return
+	}
+	if millis, err := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64); err == nil && millis > 0 {
+		ctx, cancel := context.WithTimeout(r.Context(), min(time.Duration(millis)*time.Millisecond, maxWait))
+		f.await(ctx, above)
+		cancel()
+	}
+	var out peer.Manifest
+	if s := f.current.Load(); s != nil {
+		out.Version = s.config.Version
+		if out.Version > above {
+			out.Data = s.raw
+		}
+	}
+	writeJSON(w, out)
+}
+
+func (f *Follower) handleDocuments(w http.ResponseWriter, r *http.Request) {
+	var req peer.DocumentsRequest
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&req)
+	if err != nil || len(req.Digests) > peer.MaxDocuments {
+		result.Write(w, result.New(result.InvalidRequest, result.RanNo, "malformed question for documents"))
+		return
+	}
+	out := peer.Documents{Documents: make([][]byte, len(req.Digests))}
+	if s := f.current.Load(); s != nil {
+		for i, digest := range req.Digests {
+			out.Documents[i] = s.documents[digest]
+		}
+	}
+	writeJSON(w, out)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -83,12 +83,13 @@
 	}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: peerConnsPerHost}}
 	peers := peer.NewClient(client, opts.Keys)
+	members, follower := newFleetView(&opts, peers)
 	return &Entry{
 		opts:     opts,
 		recorder: telemetry.NewRecorder(opts.Logger, decisionRing),
 		metrics:  metrics,
-		config:   configsync.New(configsync.Options{Store: opts.Store, Logger: opts.Logger}),
-		members:  membership.New(membership.Options{List: opts.List, Peers: peers, Logger: opts.Logger}),
+		config:   follower,
+		members:  members,
 		peers:    peers,
 		claims:   claim.NewRegistry(opts.Store),
 		router:   decision.NewRouter(opts.Policy, opts.Datacentre, opts.Region),
@@ -173,7 +174,7 @@
 	now := time.Now()
 	view := e.members.View()
 	for i := range view.Members {
-		if view.Members[i].Usable(now, e.members.DeadAfter()) {
+		if view.Members[i].Usable(now) {
 			n++
 		}
 	}
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -179,7 +179,7 @@
 		return nil, unknown
 	}
 	m := e.members.View().Find(vm)
-	if m == nil || (m.State.Incarnation != "" && m.State.Incarnation != incarnation) {
+	if m == nil || m.Replaced(incarnation, time.Now()) {
 		return nil, unknown
 	}
 	return m, nil
--- a/entry/route.go
+++ b/entry/route.go
@@ -50,7 +50,7 @@
 	var out []*membership.Member
 	for i := range view.Members {
 		m := &view.Members[i]
-		if tried[m.VM.Name] || !m.Usable(now, e.members.DeadAfter()) || !serves(m, svc) {
+		if tried[m.VM.Name] || !m.Usable(now) || !serves(m, svc) {
 			continue
 		}
 		out = append(out, m)
--- a/internal/faulttest/fleet_test.go
+++ b/internal/faulttest/fleet_test.go
@@ -173,6 +173,7 @@
 	text := fmt.Sprintf("[process]\nvm = %s\nlisten = %s\ndatacentre = c1\nregion = central\nkeys = %s\nbalancer_grace = 50ms\n[platform]\nstore = http://%s\nvm_list = %s\n%s",
 		vm, addr, fleetKey, f.storeProxy.addr(), f.listURL, o.entrySettings)
 	p := startDaemon(f.t, "quetzalglade-entry", vm, addr, text)
+	f.vms.Put(platform.VM{Name: vm, Addr: addr, Role: platform.RoleEntry, State: platform.VMLive, Datacentre: "c1", Region: "central"})
 	f.entries = append(f.entries, p)
 	return p
 }
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -1,16 +1,19 @@
 // Package membership tells a process which targets are live and what their
 // agents last said of themselves. Agents are the first source, the platform's
-// lagging list of VMs the second.
+// lagging list of VMs the second. A process keeps in touch with a subset of
+// the targets, whose size does not grow with the fleet.
 package membership
 
 import (
 	"context"
-	"sort"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 
+	"github.com/quetzalglade/quetzalglade/decision"
 	"github.com/quetzalglade/quetzalglade/peer"
 	"github.com/quetzalglade/quetzalglade/platform"
 	"github.com/quetzalglade/quetzalglade/telemetry"
@@ -21,65 +24,96 @@
 	List(ctx context.Context) ([]platform.VM, error)
 }
 
-// StateReader asks an agent for its state.
-type StateReader interface {
+// Peers listens to agents; *peer.Client implements it.
+type Peers interface {
 	State(ctx context.Context, addr string) (peer.State, error)
+	Beats(ctx context.Context, addr string, period, silence time.Duration, each func(peer.Beat)) error
 }
 
 // Options configure a Tracker. Zero periods select the defaults.
 type Options struct {
 	List   Lister
-	Peers  StateReader
+	Peers  Peers
 	Logger log.Logger
+	// Self is where this process runs.
+	Self decision.Place
+	// Version returns the configuration version in force here; agents that lag
+	// are shown it. It may be nil.
+	Version func() int64
 	// ListPeriod is the time between readings of the VM list.
 	ListPeriod time.Duration
-	// HeartbeatPeriod is the time between questions to an agent.
-	HeartbeatPeriod time.Duration
-	// DeadAfter is the silence after which an agent gets no work.
-	DeadAfter time.Duration
 }
 
-// Default periods.
+// Periods and sizes of a tracker.
 const (
-	defaultListPeriod      = time.Second
-	defaultHeartbeatPeriod = 500 * time.Millisecond
-	defaultDeadAfter       = 2 * time.Second
+	defaultListPeriod = time.Second
+	// beatSpacing times the number of targets is the heartbeat period, within
+	// its bounds, so that the rate of heartbeats is bounded.
+	beatSpacing   = 16 * time.Millisecond
+	minBeatPeriod = 250 * time.Millisecond
+	maxBeatPeriod = time.Second
+	// publishPeriod is the longest delay of a changed load in the view.
+	publishPeriod = 50 * time.Millisecond
+	upkeepPeriod  = 250 * time.Millisecond
+	// reconnectDelay is the delay after a heartbeat stream broke twice.
+	reconnectDelay    = 100 * time.Millisecond
+	maxReconnectDelay = time.Second
+	// showPeriod bounds how often an agent is shown the configuration version.
+	showPeriod = time.Second
+	// reportBacklog bounds the reports not yet taken in; a report beyond is
+	// dropped, since the next one replaces it.
+	reportBacklog = 256
 )
 
-// Member is one target VM.
-type Member struct {
-	VM    platform.VM
-	State peer.State
-	// Heard is when the agent last answered; zero if it never did.
-	Heard time.Time
+// member is the tracker's account of one target.
+type member struct {
+	Member
+	silence decision.Silence
+	// stop ends the heartbeat stream; nil outside the subset.
+	stop context.CancelFunc
+	// wanted is when the subset last had the target.
+	wanted time.Time
+	// surveyed is when a target outside the subset was last asked.
+	surveyed time.Time
+	shown    time.Time
+	// delisted is when the list ceased to have the VM.
+	delisted time.Time
 }
 
-// View is an immutable picture of the targets, sorted by VM name.
-type View struct {
-	Members []Member
-	byVM    map[string]int
-}
-
-// Find returns the member of the given name, or nil.
-func (v *View) Find(vm string) *Member {
-	i, ok := v.byVM[vm]
-	if !ok {
-		return nil
-	}
-	return &v.Members[i]
+// Tracker is a suture service. Its goroutine owns the members; View, VMs and
+// Report may be used from any goroutine.
+type Tracker struct {
+	opts    Options
+	members map[string]*member
+	listed  map[string]platform.VM
+	places  []decision.Place
+	// reading is the last reading of the list that was taken in.
+	reading []platform.VM
+	view    atomic.Pointer[View]
+	vms     atomic.Pointer[[]platform.VM]
+	beats   chan heartbeat
+	reports chan report
+	// stale is set when the subset is to be chosen again, dirty when the view
+	// lags behind the members.
+	stale bool
+	dirty bool
 }
 
-// Usable reports whether the member may get new work at the given time.
-func (m *Member) Usable(now time.Time, deadAfter time.Duration) bool {
-	return m.VM.State == platform.VMLive && m.State.Ready && !m.State.Draining && now.Sub(m.Heard) <= deadAfter
+// heartbeat is a message of an agent, or the failure to get one.
+type heartbeat struct {
+	vm, addr string
+	beat     peer.Beat
+	err      error
+	at       time.Time
+	// survey marks the answer to a single question.
+	survey bool
 }
 
-// Tracker is a suture service. Its goroutine owns the members; View may be
-// read from any goroutine.
-type Tracker struct {
-	opts    Options
-	members map[string]*Member
-	view    atomic.Pointer[View]
+// report is a load that came with a reply.
+type report struct {
+	vm, incarnation string
+	load            peer.Load
+	at              time.Time
 }
 
 // New returns a tracker with an empty view.
@@ -87,13 +121,14 @@
 	if opts.ListPeriod == 0 {
 		opts.ListPeriod = defaultListPeriod
 	}
-	if opts.HeartbeatPeriod == 0 {
-		opts.HeartbeatPeriod = defaultHeartbeatPeriod
+	if opts.Logger == nil {
+		opts.Logger = log.NewNopLogger()
 	}
-	if opts.DeadAfter == 0 {
-		opts.DeadAfter = defaultDeadAfter
+	t := &Tracker{
+		opts: opts, members: map[string]*member{}, listed: map[string]platform.VM{},
+		beats: make(chan heartbeat), reports: make(chan report, reportBacklog),
 	}
-	t := &Tracker{opts: opts, members: map[string]*Member{}}
+	t.vms.Store(&[]platform.VM{})
 	t.publish()
 	return t
 }
@@ -101,48 +136,55 @@
 // View returns the current picture.
 func (t *Tracker) View() *View { return t.view.Load() }
 
-// DeadAfter returns the silence after which an agent gets no work.
-func (t *Tracker) DeadAfter() time.Duration { return t.opts.DeadAfter }
+// VMs returns the VMs as last listed. The caller does not change them.
+func (t *Tracker) VMs() []platform.VM { return *t.vms.Load() }
 
-type heartbeat struct {
-	vm    string
-	state peer.State
-	err   error
-	at    time.Time
+// Report takes in a load that came with a reply of the given incarnation.
+func (t *Tracker) Report(vm, incarnation string, load peer.Load) {
+	select {
+	case t.reports <- report{vm: vm, incarnation: incarnation, load: load, at: time.Now()}:
+	default:
+	}
 }
 
 // Serve implements suture.Service.
 func (t *Tracker) Serve(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	lists := make(chan []platform.VM)
-	beats := make(chan heartbeat)
 	go t.readLists(ctx, lists)
-	tick := time.NewTicker(t.opts.HeartbeatPeriod)
-	defer tick.Stop()
+	publish := time.NewTicker(publishPeriod)
+	defer publish.Stop()
+	upkeep := time.NewTicker(upkeepPeriod)
+	defer upkeep.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case vms := <-lists:
-			t.applyList(vms)
-			t.ask(ctx, beats)
-		case b := <-beats:
-			t.applyHeartbeat(b)
-		case <-tick.C:
-			t.ask(ctx, beats)
-			continue
+			t.applyList(vms, time.Now())
+			t.choose(ctx, time.Now())
+			t.publish()
+		case b := <-t.beats:
+			t.applyHeartbeat(ctx, b)
+		case r := <-t.reports:
+			t.applyReport(r)
+		case <-upkeep.C:
+			t.upkeep(ctx, time.Now())
+		case <-publish.C:
+			if t.dirty {
+				t.publish()
+			}
 		}
-		t.publish()
 	}
 }
 
 func (t *Tracker) readLists(ctx context.Context, out chan<- []platform.VM) {
-	tick := time.NewTicker(t.opts.ListPeriod)
-	defer tick.Stop()
-	for {
+	for ctx.Err() == nil {
 		limit, cancel := context.WithTimeout(ctx, t.opts.ListPeriod)
 		vms, err := t.opts.List.List(limit)
 		cancel()
-		if err != nil {
+		if err != nil && ctx.Err() == nil {
 			telemetry.Warn(t.opts.Logger, "VM list unavailable", "err", err)
 		} else {
 			select {
@@ -151,69 +193,135 @@
 				return
 			}
 		}
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			return
-		}
+		sleep(ctx, jittered(t.opts.ListPeriod))
 	}
 }
 
-func (t *Tracker) applyList(vms []platform.VM) {
-	listed := map[string]bool{}
-	for _, vm := range vms {
-		if vm.Role != platform.RoleTarget {
+// listen keeps a heartbeat stream open until ctx ends. A broken stream is
+// opened again at once; a second failure is reported.
+func (t *Tracker) listen(ctx context.Context, vm, addr string, period time.Duration) {
+	delay := reconnectDelay
+	// The streams of many processes are not opened at the same moment.
+	sleep(ctx, rand.N(reconnectDelay))
+	for ctx.Err() == nil {
+		spoke := false
+		err := t.opts.Peers.Beats(ctx, addr, period, decision.MaxSilence, func(b peer.Beat) {
+			spoke = true
+			t.deliver(ctx, heartbeat{vm: vm, addr: addr, beat: b, at: time.Now()})
+		})
+		if spoke {
+			delay = reconnectDelay
 			continue
 		}
-		listed[vm.Name] = true
-		m, ok := t.members[vm.Name]
-		if !ok {
-			m = &Member{}
-			t.members[vm.Name] = m
-		}
-		m.VM = vm
-	}
-	for name := range t.members {
-		if !listed[name] {
-			delete(t.members, name)
-		}
+		t.deliver(ctx, heartbeat{vm: vm, addr: addr, err: err, at: time.Now()})
+		sleep(ctx, jittered(delay))
+		delay = min(2*delay, maxReconnectDelay)
 	}
 }
 
-func (t *Tracker) ask(ctx context.Context, out chan<- heartbeat) {
-	for name, m := range t.members {
-		go t.askOne(ctx, name, m.VM.Addr, out)
+func (t *Tracker) deliver(ctx context.Context, b heartbeat) {
+	select {
+	case t.beats <- b:
+	case <-ctx.Done():
 	}
 }
 
-func (t *Tracker) askOne(ctx context.Context, name, addr string, out chan<- heartbeat) {
-	limit, cancel := context.WithTimeout(ctx, t.opts.DeadAfter)
+// ask sends one question to an agent, which also shows it the configuration
+// version in force here.
+func (t *Tracker) ask(ctx context.Context, vm, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, decision.MaxSilence)
 	defer cancel()
 	at := time.Now()
-	st, err := t.opts.Peers.State(limit, addr)
-	select {
-	case out <- heartbeat{vm: name, state: st, err: err, at: at}:
-	case <-ctx.Done():
-	}
+	st, err := t.opts.Peers.State(ctx, addr)
+	t.deliver(ctx, heartbeat{vm: vm, addr: addr, beat: peer.Beat{State: &st}, err: err, at: at, survey: true})
 }
 
-func (t *Tracker) applyHeartbeat(b heartbeat) {
+var errOtherVM = errors.New("the address belongs to another VM")
+
+func (t *Tracker) applyHeartbeat(ctx context.Context, b heartbeat) {
 	m, ok := t.members[b.vm]
-	if !ok || b.err != nil || b.state.VM != b.vm || b.at.Before(m.Heard) {
+	if !ok || b.addr != m.VM.Addr || b.at.Before(m.Heard) {
+		return
+	}
+	if b.err == nil && b.beat.State != nil && b.beat.State.VM != b.vm {
+		b.err = errOtherVM
+	}
+	before := m.phaseAndReadiness(b.at)
+	t.take(m, &b)
+	if b.err == nil {
+		t.showVersion(ctx, m, b.at)
+	}
+	t.dirty = true
+	if m.phaseAndReadiness(b.at) != before {
+		t.stale = true
+		t.publish()
+	}
+}
+
+// take brings a member up to date with a heartbeat.
+func (t *Tracker) take(m *member, b *heartbeat) {
+	switch {
+	case b.err != nil:
+		// A single question that fails says too little.
+		m.Broken = m.Broken || !b.survey
 		return
+	case b.beat.State != nil:
+		if m.State.Incarnation != "" && m.State.Incarnation != b.beat.State.Incarnation {
+			telemetry.Info(t.opts.Logger, "target replaced", "target", m.VM.Name, "incarnation", b.beat.State.Incarnation)
+			m.silence = decision.Silence{}
+			m.Heard = time.Time{}
+		}
+		t.stale = t.stale || groupsDiffer(&m.State, b.beat.State)
+		m.State = *b.beat.State
+	case b.beat.Load != nil:
+		m.State.Load = *b.beat.Load
+	}
+	if !m.Heard.IsZero() && !b.survey && m.stop != nil {
+		m.silence.Observe(b.at.Sub(m.Heard))
 	}
-	m.State = b.state
+	m.Broken = false
 	m.Heard = b.at
+	m.Silence = m.silence.Limit()
 }
 
-func (t *Tracker) publish() {
-	v := &View{byVM: make(map[string]int, len(t.members))}
-	for _, m := range t.members {
-		v.Members = append(v.Members, *m)
+type phaseAndReadiness struct {
+	phase Phase
+	ready bool
+}
+
+func (m *member) phaseAndReadiness(now time.Time) phaseAndReadiness {
+	return phaseAndReadiness{m.Phase(now), m.State.Ready}
+}
+
+// applyReport takes in a load that rode on a reply. One of an earlier
+// incarnation is dropped.
+func (t *Tracker) applyReport(r report) {
+	m, ok := t.members[r.vm]
+	if !ok || m.State.Incarnation != r.incarnation || r.at.Before(m.Heard) {
+		return
 	}
-	sort.Slice(v.Members, func(i, j int) bool { return v.Members[i].VM.Name < v.Members[j].VM.Name })
-	for i := range v.Members {
-		v.byVM[v.Members[i].VM.Name] = i
+	m.State.Load = r.load
+	m.Heard = r.at
+	t.dirty = true
+}
+
+// showVersion asks an agent that lags behind the configuration in force here,
+// so that the question shows it the version.
+func (t *Tracker) showVersion(ctx context.Context, m *member, now time.Time) {
+	if t.opts.Version == nil || m.State.ConfigVersion >= t.opts.Version() || now.Sub(m.shown) < showPeriod {
+		return
+	}
+	m.shown = now
+	go t.ask(ctx, m.VM.Name, m.VM.Addr)
+}
+
+func jittered(d time.Duration) time.Duration { return d - d/4 + rand.N(d/2) }
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
 	}
-	t.view.Store(v)
 }
