--- a/operator/collect.go
+++ b/operator/collect.go
@@ -10,7 +10,7 @@
 
 // Sizes of the collection of documents that no kept manifest refers to.
 const (
-	// collectEvery is the number of versions between two collections.
+	// collectEvery is the number of manifests that a collection deletes.
 	collectEvery = 16
 	// keptVersions is the number of manifests that are kept for rollback.
 	keptVersions = 64
@@ -18,6 +18,19 @@
 	deleteBatch = 32
 )
 
+// collectIfDue collects if a manifest is left that is old enough.
+func (p *publication) collectIfDue(ctx context.Context, swapped int64) error {
+	old := p.manifest.Version - keptVersions - collectEvery
+	if old <= 0 {
+		return nil
+	}
+	kv, err := p.store.Get(ctx, configsync.HistoryKey(old))
+	if err != nil || kv == nil {
+		return err
+	}
+	return p.collect(ctx, swapped)
+}
+
 // collect deletes old manifests, and documents that no kept one refers to and
 // that were written before the replaced manifest. Every deletion holds only
 // while this publication's manifest is in force, at the given revision.
--- a/operator/publish.go
+++ b/operator/publish.go
@@ -76,9 +76,7 @@
 		return config.Manifest{}, err
 	}
 	// What could not be collected now is collected by a later publication.
-	if p.manifest.Version%collectEvery == 0 {
-		_ = p.collect(ctx, swapped)
-	}
+	_ = p.collectIfDue(ctx, swapped)
 	return p.manifest, nil
 }
 
@@ -150,8 +148,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return 0, errors.Mark(errors.Wrap(err, "swap the manifest"),
-				result.New(result.StoreUnavailable, result.RanUnknown, "the store did not tell whether version %d was accepted", p.manifest.Version))
+			return 0, result.New(result.StoreUnavailable, result.RanUnknown, "the store did not tell whether version %d was accepted", p.manifest.Version)
 		case <-time.After(settleDelay):
 		}
 	}
