--- a/internal/faulttest/process_test.go
+++ b/internal/faulttest/process_test.go
@@ -55,6 +55,8 @@
 	mu   sync.Mutex
 	log  []string
 	code int
+	// started is the process id of the last start.
+	started int
 }
 
 // startDaemon runs a daemon with settings text. The text must make it listen
@@ -85,6 +87,9 @@
 		p.t.Fatal(err)
 	}
 	p.done = make(chan struct{})
+	p.mu.Lock()
+	p.started = p.cmd.Process.Pid
+	p.mu.Unlock()
 	go func() {
 		scan := bufio.NewScanner(pipe)
 		scan.Buffer(nil, 1<<20)
@@ -102,10 +107,16 @@
 	p.t.Cleanup(p.kill)
 }
 
+// restartLine separates the incarnations of a daemon in its log.
+const restartLine = `{"msg":"restarted by the test","config_version":0}`
+
 // restart starts the daemon again with the same settings.
 func (p *process) restart() {
 	p.t.Helper()
 	<-p.done
+	p.mu.Lock()
+	p.log = append(p.log, restartLine)
+	p.mu.Unlock()
 	p.cmd = exec.Command(p.cmd.Path, p.cmd.Args[1:]...)
 	p.start()
 }
