--- a/internal/faulttest/fleet_test.go
+++ b/internal/faulttest/fleet_test.go
@@ -175,6 +175,7 @@
 	p := startDaemon(f.t, "quetzalglade-entry", vm, addr, text)
 	f.vms.Put(platform.VM{Name: vm, Addr: addr, Role: platform.RoleEntry, State: platform.VMLive, Datacentre: "c1", Region: "central"})
 	f.entries = append(f.entries, p)
+	f.vms.Put(platform.VM{Name: vm, Addr: addr, Role: platform.RoleEntry, State: platform.VMLive, Datacentre: "c1", Region: "central"})
 	return p
 }
 
