--- a/entry/entry.go
+++ b/entry/entry.go
@@ -90,12 +90,13 @@
 	}
 	client := &http.Client{Transport: &http.Transport{DialContext: opts.Dial, MaxIdleConnsPerHost: peerConnsPerHost}}
 	peers := peer.NewClient(client, opts.Keys)
+	members, follower := newFleetView(&opts, peers)
 	e := &Entry{
 		opts:     opts,
 		recorder: telemetry.NewRecorder(opts.Logger, metrics, decisionRing),
 		metrics:  metrics,
-		config:   configsync.New(configsync.Options{Store: opts.Store, Logger: opts.Logger}),
-		members:  membership.New(membership.Options{List: opts.List, Peers: peers, Logger: opts.Logger}),
+		config:   follower,
+		members:  members,
 		peers:    peers,
 		claims:   claim.NewRegistry(opts.Store),
 		router:   decision.NewRouter(opts.Policy, opts.Datacentre, opts.Region),
@@ -196,7 +197,7 @@
 	now := time.Now()
 	view := e.members.View()
 	for i := range view.Members {
-		if view.Members[i].Usable(now, e.members.DeadAfter()) {
+		if view.Members[i].Usable(now) {
 			n++
 		}
 	}
