Add the expected waits to an agent's load

Cause: routers need to know how long new work would wait by class; running and queued counts say nothing of lengths or memory. Additive fields.

--- a/peer/message.go
+++ b/peer/message.go
@@ -35,6 +35,10 @@
 	Slots int `json:"slots"`
 	// CadenceMicros is the recent median time between tokens or of a call.
 	CadenceMicros int64 `json:"cadence_us"`
+	// WaitMicros and ShortWaitMicros are the waits that the agent expects for
+	// new long and short work.
+	WaitMicros      int64 `json:"wait_us,omitempty"`
+	ShortWaitMicros int64 `json:"short_wait_us,omitempty"`
 }
 
 // State is what an agent tells other processes of itself.
