Carry an agent's uptime on every heartbeat

Ruled out: membership suspecting the wrong target; the decision lines show the live target chosen and refusing.

--- a/agent/beats.go
+++ b/agent/beats.go
@@ -37,6 +37,7 @@
 		now := time.Now()
 		b, due := nextBeat(sent, a.state.Load(), now.Sub(at) >= period)
 		if due {
+			b.UptimeMillis = a.uptime().Milliseconds()
 			if rc.SetWriteDeadline(now.Add(writeTimeout)) != nil || enc.Encode(b) != nil || rc.Flush() != nil {
 				return
 			}
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -233,7 +233,7 @@
 	defer cancel()
 	at := time.Now()
 	st, err := t.opts.Peers.State(ctx, addr)
-	t.deliver(ctx, heartbeat{vm: vm, addr: addr, beat: peer.Beat{State: &st}, err: err, at: at, survey: true})
+	t.deliver(ctx, heartbeat{vm: vm, addr: addr, beat: peer.Beat{State: &st, UptimeMillis: st.UptimeMillis}, err: err, at: at, survey: true})
 }
 
 var errOtherVM = errors.New("the address belongs to another VM")
@@ -281,6 +281,7 @@
 	}
 	m.Broken = false
 	m.Heard = b.at
+	m.State.UptimeMillis = b.beat.UptimeMillis
 	m.Silence = m.silence.Limit()
 }
 
--- a/peer/beat.go
+++ b/peer/beat.go
@@ -19,8 +19,10 @@
 // first line and whenever anything but the load has changed, Load when only
 // the load has. Neither is set if nothing has changed.
 type Beat struct {
-	State *State `json:"state,omitempty"`
-	Load  *Load  `json:"load,omitempty"`
+	// UptimeMillis is the age of the agent process.
+	UptimeMillis int64  `json:"uptime_ms"`
+	State        *State `json:"state,omitempty"`
+	Load         *Load  `json:"load,omitempty"`
 }
 
 // Beats reads an agent's heartbeats and passes each to the function until the
