Replay a seeded generation elsewhere and verify it

Cause: a generation whose engine or agent was lost after its first token ended in EngineLost even with a fixed seed, and an answer that was not streamed was given up although the caller had nothing of it. A lost generation that was replaced was cancelled by its id only, so an attempt that arrived late could still begin.

Change: the entry keeps a running digest of the delivered tokens (no tokens, constant memory). After a loss it runs the request again elsewhere, compares up to the delivered offset and goes on only if both are equal; otherwise ReplayDiverged with the delivered count. Whole answers and streams without a delivered token begin anew. A replaced attempt is revoked by its attempt id, which its agent remembers, and cancelled if it had begun. Retries and resumes that fail no longer turn an earlier attempt's state into 'ran: no': the states of all attempts are combined, and only the refusal of the first message counts as the agent's word.

Ruled out: continuing the prefix as a prompt (splices two generations); keeping the tokens for the comparison (memory grows with the output).

--- a/agent/call.go
+++ b/agent/call.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -88,7 +87,7 @@
 
 // callFailure tells a call that certainly did not run from one that may have.
 func callFailure(err error) *result.Error {
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	if peer.NotSent(err) {
 		return result.New(result.TargetFailed, result.RanNo, "the service does not accept connections")
 	}
 	if errors.Is(err, context.DeadlineExceeded) {
--- a/agent/control.go
+++ b/agent/control.go
@@ -177,8 +177,12 @@
 }
 
 func (s *state) offer(j *job, now time.Time) *result.Error {
-	if _, ok := s.retired[j.item.ID]; ok {
-		return result.New(result.AttemptRevoked, result.RanNo, "the attempt has ended or was withdrawn")
+	if r, ok := s.retired[j.item.ID]; ok {
+		ran := result.RanNo
+		if r.began {
+			ran = result.RanYes
+		}
+		return result.New(result.AttemptRevoked, ran, "the attempt has ended or was withdrawn")
 	}
 	if _, ok := s.jobs[j.item.ID]; ok {
 		return result.New(result.AttemptRevoked, result.RanUnknown, "the attempt is in progress")
--- a/agent/run.go
+++ b/agent/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -50,8 +51,11 @@
 		MaxTokens: attempt.MaxTokens, Priority: attempt.Priority, Seed: attempt.Seed,
 	}, each)
 	var refused *target.RefusedError
+	if errors.As(err, &refused) || errors.Is(err, target.ErrUnknownCompletion) {
+		return err
+	}
 	for try := 0; try < engineResumeTries && err != nil; try++ {
-		if ctx.Err() != nil || errors.As(err, &refused) || errors.Is(err, target.ErrUnknownCompletion) {
+		if ctx.Err() != nil || errors.Is(err, target.ErrUnknownCompletion) {
 			return err
 		}
 		a.recorder.Record(telemetry.Decision{
@@ -61,6 +65,10 @@
 		sleep(ctx, engineResumeDelay<<try)
 		err = a.engine.Resume(ctx, g.id, g.count(), each)
 	}
+	if errors.As(err, &refused) {
+		// The engine refused to resume; that says nothing of the first request.
+		return errors.Newf("resume: %v", refused)
+	}
 	if err == nil && !g.ended() {
 		return errors.New("engine closed the stream without a finish reason")
 	}
@@ -86,17 +94,27 @@
 func engineFailure(ctx context.Context, err error) *result.Error {
 	var refused *target.RefusedError
 	switch {
-	case errors.Is(context.Cause(ctx), errAbandoned):
-		return result.New(result.Cancelled, result.RanYes, "cancelled")
 	case ctx.Err() != nil:
 		return result.New(result.DeadlineExceeded, result.RanYes, "the generation's time ran out")
 	case errors.As(err, &refused):
-		return result.New(result.TargetFailed, result.RanNo, "the engine refused the request with status %d", refused.Status)
+		return result.New(result.TargetFailed, refusedRan(refused), "the engine refused the request with status %d", refused.Status)
 	default:
 		return result.New(result.EngineLost, result.RanYes, "the engine was lost")
 	}
 }
 
+// refusedRan returns whether a request that the engine answered with a failure
+// ran. Only a refusal of the first request reaches here.
+func refusedRan(e *target.RefusedError) result.Ran {
+	switch {
+	case e.Status == http.StatusServiceUnavailable, e.Status == http.StatusTooManyRequests:
+		return result.RanNo
+	case e.Status >= http.StatusInternalServerError, e.Status == http.StatusConflict:
+		return result.RanUnknown
+	}
+	return result.RanNo
+}
+
 func (a *Agent) cancelAtEngine(id string) {
 	ctx, cancel := context.WithTimeout(context.Background(), engineCancelLimit)
 	defer cancel()
@@ -105,9 +123,6 @@
 	}
 }
 
-// errAbandoned ends a generation that nobody listens to.
-var errAbandoned = errors.New("no listener")
-
 // watchListeners cancels the generation when nobody has listened to it for the
 // grace. The returned channel is closed when the watch has ended.
 func (a *Agent) watchListeners(ctx context.Context, cancel context.CancelFunc, g *generation, grace time.Duration) <-chan struct{} {
--- a/agent/server.go
+++ b/agent/server.go
@@ -208,14 +208,19 @@
 	}
 	began, _ := a.revoke(g.attempt)
 	if began {
-		g.finish(nil, result.New(result.Cancelled, result.RanYes, "cancelled").ForGeneration(g.id, g.count()))
-		a.cancelAtEngine(g.id)
+		a.cancelGeneration(g, "caller_asked")
 	}
+	reply(w, peer.Revoked{ID: g.id, Began: began})
+}
+
+// cancelGeneration ends a generation that has begun, at once.
+func (a *Agent) cancelGeneration(g *generation, reason string) {
+	g.finish(nil, result.New(result.Cancelled, result.RanYes, "cancelled").ForGeneration(g.id, g.count()))
+	a.cancelAtEngine(g.id)
 	a.recorder.Record(telemetry.Decision{
 		Kind: telemetry.KindCancel, Attempt: g.attempt, Generation: g.id, Workspace: g.workspace,
-		Target: a.opts.VM, Choice: "cancel", Reason: "caller_asked",
+		Target: a.opts.VM, Choice: "cancel", Reason: reason,
 	})
-	reply(w, peer.Revoked{ID: g.id, Began: began})
 }
 
 func (a *Agent) handleRevoke(w http.ResponseWriter, r *http.Request) {
@@ -232,6 +237,9 @@
 		result.Write(w, result.New(result.TargetLeaving, result.RanUnknown, "the target is stopping"))
 		return
 	}
+	if g := a.generations.ofAttempt(msg.ID); began && msg.Cancel && g != nil {
+		a.cancelGeneration(g, "withdrawn")
+	}
 	reply(w, peer.Revoked{ID: msg.ID, Began: began})
 }
 
--- a/agent/table.go
+++ b/agent/table.go
@@ -35,6 +35,18 @@
 	return g
 }
 
+// ofAttempt returns the generation that an attempt started, or nil.
+func (t *table) ofAttempt(id string) *generation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, g := range t.byID {
+		if g.attempt == id {
+			return g
+		}
+	}
+	return nil
+}
+
 func (t *table) remove(id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/caller/request.go
+++ b/caller/request.go
@@ -130,7 +130,7 @@
 	}
 	n, err := strconv.Atoi(id)
 	if err != nil || n < 0 {
-		return 0, result.New(result.InvalidEventID, result.RanNo, "Last-Event-ID is not a token offset")
+		return 0, result.New(result.InvalidEventID, result.RanUnknown, "Last-Event-ID is not a token offset")
 	}
 	return n + 1, nil
 }
--- a/caller/response.go
+++ b/caller/response.go
@@ -29,8 +29,13 @@
 	Fail(e *result.Error)
 	// KeepAlive keeps a silent connection open.
 	KeepAlive() error
+	// Next returns the offset of the first token that was not taken yet.
+	Next() int
 	// Delivered returns the number of tokens handed to the caller.
 	Delivered() int
+	// Restart drops tokens that were taken and not delivered. It reports
+	// whether nothing was delivered, so that another generation may answer.
+	Restart() bool
 }
 
 // Meta identifies an answer.
@@ -61,9 +66,15 @@
 	return &Stream{w: w, rc: http.NewResponseController(w), meta: meta, sent: sent}
 }
 
+// Next implements Responder.
+func (s *Stream) Next() int { return s.sent }
+
 // Delivered implements Responder.
 func (s *Stream) Delivered() int { return s.sent }
 
+// Restart implements Responder.
+func (s *Stream) Restart() bool { return s.sent == 0 }
+
 func (s *Stream) start() {
 	if s.open {
 		return
@@ -207,23 +218,40 @@
 	w    http.ResponseWriter
 	meta *Meta
 	text strings.Builder
-	sent int
+	held int
+	// sent is set when the answer was handed to the caller.
+	sent bool
 }
 
 // NewWhole returns a responder for callers that do not stream.
 func NewWhole(w http.ResponseWriter, meta *Meta) *Whole { return &Whole{w: w, meta: meta} }
 
+// Next implements Responder.
+func (a *Whole) Next() int { return a.held }
+
 // Delivered implements Responder.
-func (a *Whole) Delivered() int { return a.sent }
+func (a *Whole) Delivered() int {
+	if a.sent {
+		return a.held
+	}
+	return 0
+}
+
+// Restart implements Responder.
+func (a *Whole) Restart() bool {
+	a.text.Reset()
+	a.held = 0
+	return !a.sent
+}
 
 // Tokens implements Responder.
 func (a *Whole) Tokens(offset int, tokens []string) error {
-	if offset > a.sent {
-		return errors.Newf("gap before token %d, %d held", offset, a.sent)
+	if offset > a.held {
+		return errors.Newf("gap before token %d, %d held", offset, a.held)
 	}
-	for _, t := range tokens[min(a.sent-offset, len(tokens)):] {
+	for _, t := range tokens[min(a.held-offset, len(tokens)):] {
 		a.text.WriteString(t)
-		a.sent++
+		a.held++
 	}
 	return nil
 }
@@ -239,6 +267,7 @@
 	a.w.Header().Set("Content-Type", "application/json")
 	a.w.Header().Set(HeaderRequestID, a.meta.Request)
 	a.w.Header().Set(HeaderGenerationID, a.meta.Generation)
+	a.sent = true
 	return errors.Wrap(json.NewEncoder(a.w).Encode(completion{
 		ID: a.meta.Generation, Object: a.meta.object(false), Model: a.meta.Service,
 		Choices: []choice{c}, Usage: f.usage(),
--- a/entry/call.go
+++ b/entry/call.go
@@ -148,27 +148,29 @@
 // idempotent.
 func (c *call) run(ctx context.Context) (*peer.Reply, *result.Error) {
 	tried := map[string]bool{}
+	var known attempts
 	var failure *result.Error
 	for range maxAttempts {
 		m, refusal := c.entry.route(c.request, decision.Work{Workspace: c.workspace.Name, Service: c.service.Name, Priority: c.service.Priority}, tried)
 		if refusal != nil {
-			if failure != nil {
-				return nil, failure
+			if failure == nil {
+				return nil, refusal
 			}
-			return nil, refusal
+			break
 		}
 		var reply *peer.Reply
 		reply, failure = c.attempt(ctx, m)
 		if failure == nil {
 			return reply, nil
 		}
+		known.note(failure.Ran)
 		if ctx.Err() != nil || (!c.idempotent && failure.Ran != result.RanNo) {
-			return nil, failure
+			break
 		}
 		tried[m.VM.Name] = true
 		c.entry.recordRetry(c.request, m, failure)
 	}
-	return nil, failure
+	return nil, failure.WithRan(known.verdict())
 }
 
 func (c *call) attempt(ctx context.Context, m *membership.Member) (*peer.Reply, *result.Error) {
@@ -182,23 +184,23 @@
 	var refusal *result.Error
 	switch {
 	case err == nil && reply.ID != msg.ID:
-		return nil, result.New(result.OutcomeUnknown, result.RanUnknown, "the reply belongs to another call")
+		c.entry.dropped.Add(ctx, 1)
 	case err == nil && reply.Error != nil:
 		return nil, reply.Error
 	case err == nil:
 		return reply, nil
 	case errors.As(err, &refusal):
 		return nil, refusal
+	case peer.NotSent(err):
+		return nil, result.New(result.NoTarget, result.RanNo, "the target does not accept connections").RetryAfter(retryNoTarget)
 	}
 	return nil, c.afterBreak(m, &msg)
 }
 
 // afterBreak asks the agent whether a call whose reply was lost had begun.
 func (c *call) afterBreak(m *membership.Member, msg *peer.Call) *result.Error {
-	ctx, cancel := context.WithTimeout(context.Background(), revokeTimeout)
-	defer cancel()
-	revoked, err := c.entry.peers.Revoke(ctx, m.VM.Addr, peer.Revoke{ID: msg.ID, Incarnation: msg.Incarnation})
-	if err == nil && revoked.ID == msg.ID && !revoked.Began {
+	ran := <-c.entry.withdraw(m, peer.Revoke{ID: msg.ID, Incarnation: msg.Incarnation})
+	if ran == result.RanNo {
 		return result.New(result.AttemptRevoked, result.RanNo, "the call was withdrawn before it began")
 	}
 	return result.New(result.OutcomeUnknown, result.RanUnknown, "the target did not answer")
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/thejerf/suture/v4"
+	"go.opentelemetry.io/otel/metric"
 
 	"github.com/quetzalglade/quetzalglade/claim"
 	"github.com/quetzalglade/quetzalglade/configsync"
@@ -56,6 +57,8 @@
 	members  *membership.Tracker
 	peers    *peer.Client
 	claims   *claim.Registry
+	// dropped counts frames of another generation or call than expected.
+	dropped  metric.Int64Counter
 	stopping atomic.Bool
 
 	routeMu sync.Mutex
@@ -91,6 +94,7 @@
 		members:  membership.New(membership.Options{List: opts.List, Peers: peers, Logger: opts.Logger}),
 		peers:    peers,
 		claims:   claim.NewRegistry(opts.Store),
+		dropped:  metrics.Counter("crossed_replies", "replies of another generation or call that were dropped"),
 		router:   decision.NewRouter(opts.Policy, opts.Datacentre, opts.Region),
 		sent:     map[string]int{},
 	}, nil
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -18,13 +18,16 @@
 
 // Retry bounds.
 const (
-	maxAttempts       = 4
-	maxResumes        = 8
-	resumeDelay       = 50 * time.Millisecond
-	maxResumeDelay    = time.Second
-	retryNoTarget     = time.Second
-	revokeTimeout     = 2 * time.Second
-	maxCompletionBody = 4 << 20
+	maxAttempts = 4
+	maxResumes  = 8
+	// A generation that another one can replace is given up sooner.
+	maxReplaceableResumes = 4
+	replaceablePatience   = 4 * time.Second
+	resumeDelay           = 50 * time.Millisecond
+	maxResumeDelay        = time.Second
+	retryNoTarget         = time.Second
+	revokeTimeout         = 2 * time.Second
+	maxCompletionBody     = 4 << 20
 )
 
 // generation is a caller's request for a generation in progress.
@@ -35,6 +38,9 @@
 	meta      *caller.Meta
 	responder caller.Responder
 	tried     map[string]bool
+	attempts  attempts
+	// seeded is set if a second run can be compared with the first.
+	seeded bool
 }
 
 func (e *Entry) handleCompletion(w http.ResponseWriter, r *http.Request, chat bool) {
@@ -74,10 +80,14 @@
 	}
 	meta := &caller.Meta{Request: req.id, Service: ask.Service, Chat: chat}
 	g := &generation{request: req, entry: e, ask: ask, meta: meta, tried: map[string]bool{}}
-	if ask.Stream {
-		g.responder = caller.NewStream(w, meta, 0)
-	} else {
+	switch {
+	case !ask.Stream:
 		g.responder = caller.NewWhole(w, meta)
+	case ask.Seed != nil:
+		g.responder = newVerified(caller.NewStream(w, meta, 0))
+		g.seeded = true
+	default:
+		g.responder = caller.NewStream(w, meta, 0)
 	}
 	return g, nil
 }
@@ -94,26 +104,48 @@
 	return nil
 }
 
-// run tries targets until one generates the answer. Until the first token is
-// delivered a failed attempt is replaced by a new generation elsewhere.
+// run tries targets until one generates the answer. A lost generation is
+// replaced by a new one elsewhere if nothing of it was delivered, or if the
+// request has a seed, so that the new one can be compared with it.
 func (g *generation) run(ctx context.Context) *result.Error {
 	var failure *result.Error
 	for range maxAttempts {
 		m, refusal := g.entry.route(g.request, g.work(), g.tried)
-		if refusal != nil {
-			if failure != nil {
-				return failure
-			}
+		if refusal != nil && failure == nil {
 			return refusal
 		}
-		failure = g.attempt(ctx, m)
-		if failure == nil || !g.mayRetry(ctx, failure) {
-			return failure
+		if refusal != nil {
+			failure = g.conclude(failure, refusal)
+			break
+		}
+		next := g.attempt(ctx, m)
+		if next == nil {
+			return nil
+		}
+		failure = g.conclude(failure, next)
+		if !mayRetry(ctx, next) || !g.responder.Restart() {
+			break
 		}
 		g.tried[m.VM.Name] = true
-		g.entry.recordRetry(g.request, m, failure)
+		g.recordRetry(m, next)
 	}
-	return failure
+	return failure.WithRan(g.attempts.verdict())
+}
+
+// conclude returns the failure to report if no further attempt answers. Once
+// tokens were delivered, that they could not be continued is what counts.
+func (g *generation) conclude(earlier, next *result.Error) *result.Error {
+	if earlier == nil {
+		return next
+	}
+	switch next.Code {
+	case result.ReplayDiverged, result.Cancelled, result.DeadlineExceeded:
+		return next
+	}
+	if next.Code == result.NoTarget || g.responder.Delivered() > 0 {
+		return earlier
+	}
+	return next
 }
 
 func (g *generation) work() decision.Work {
@@ -123,8 +155,9 @@
 	}
 }
 
-func (g *generation) mayRetry(ctx context.Context, failure *result.Error) bool {
-	if ctx.Err() != nil || g.responder.Delivered() > 0 {
+// mayRetry reports whether another target may succeed.
+func mayRetry(ctx context.Context, failure *result.Error) bool {
+	if ctx.Err() != nil {
 		return false
 	}
 	switch failure.Code {
@@ -142,22 +175,26 @@
 	attempt := g.message(id)
 	open := func(ctx context.Context) (*peer.Stream, error) { return g.entry.peers.Start(ctx, m.VM.Addr, attempt) }
 	failure := g.entry.relay(ctx, &relay{
-		request: g.request, vm: m.VM.Name, generation: id, responder: g.responder, open: open,
+		request: g.request, vm: m.VM.Name, addr: m.VM.Addr, generation: id, responder: g.responder, open: open,
+		replaceable: g.seeded || g.responder.Delivered() == 0,
 	})
 	if failure == nil {
 		return nil
 	}
-	if failure.Code == result.EngineLost && g.responder.Delivered() == 0 {
-		g.withdraw(m, id)
-	}
+	g.settle(m, attempt, failure)
 	return failure
 }
 
-// withdraw cancels a generation that is going to be replaced.
-func (g *generation) withdraw(m *membership.Member, id string) {
-	ctx, cancel := context.WithTimeout(context.Background(), revokeTimeout)
-	defer cancel()
-	_ = g.entry.peers.Cancel(ctx, m.VM.Addr, id, g.workspace.Name)
+// settle finds out whether a failed attempt ran, and ends it where another
+// generation is going to replace it.
+func (g *generation) settle(m *membership.Member, attempt *peer.Attempt, failure *result.Error) {
+	replaced := failure.Code == result.EngineLost || failure.Code == result.ReplayDiverged
+	if failure.Ran != result.RanUnknown {
+		g.attempts.note(failure.Ran)
+	}
+	if failure.Ran == result.RanUnknown || replaced {
+		g.attempts.ask(g.entry.withdraw(m, peer.Revoke{ID: attempt.ID, Incarnation: m.State.Incarnation, Cancel: replaced}))
+	}
 }
 
 func (g *generation) message(id string) *peer.Attempt {
@@ -174,17 +211,24 @@
 // holder finds the target that holds a generation.
 func (e *Entry) holder(id string) (*membership.Member, *result.Error) {
 	unknown := result.New(result.UnknownGeneration, result.RanUnknown, "unknown generation")
-	vm, incarnation, ok := peer.ParseGenerationID(id)
+	vm, _, ok := peer.ParseGenerationID(id)
 	if !ok {
 		return nil, unknown
 	}
 	m := e.members.View().Find(vm)
-	if m == nil || (m.State.Incarnation != "" && m.State.Incarnation != incarnation) {
+	if m == nil || !holds(m, id) {
 		return nil, unknown
 	}
 	return m, nil
 }
 
+// holds reports whether a member can hold a generation: its agent is the
+// process that the generation's id names, as far as is known.
+func holds(m *membership.Member, id string) bool {
+	_, incarnation, ok := peer.ParseGenerationID(id)
+	return ok && (m.State.Incarnation == "" || m.State.Incarnation == incarnation)
+}
+
 func (e *Entry) handleResume(w http.ResponseWriter, r *http.Request) {
 	req, refusal := e.authenticate(r)
 	if refusal != nil {
@@ -203,7 +247,7 @@
 		return
 	}
 	responder := caller.NewStream(w, &caller.Meta{Request: req.id, Generation: id}, from)
-	failure := e.relay(r.Context(), &relay{request: req, vm: m.VM.Name, generation: id, responder: responder})
+	failure := e.relay(r.Context(), &relay{request: req, vm: m.VM.Name, addr: m.VM.Addr, generation: id, responder: responder})
 	if failure != nil {
 		responder.Fail(failure)
 	}
@@ -227,5 +271,19 @@
 	})
 }
 
+// recordRetry records that a failed attempt is replaced. Once tokens were
+// delivered that is a replay.
+func (g *generation) recordRetry(m *membership.Member, failure *result.Error) {
+	if g.responder.Delivered() == 0 {
+		g.entry.recordRetry(g.request, m, failure)
+		return
+	}
+	g.entry.recorder.Record(telemetry.Decision{
+		Kind: telemetry.KindReplay, Request: g.id, Workspace: g.workspace.Name, Service: g.service.Name,
+		Generation: g.meta.Generation, Target: m.VM.Name, Choice: "run again and compare", Reason: failure.Name,
+		Version: g.config.Version,
+	})
+}
+
 // errCallerGone ends a relay whose caller does not read any more.
 var errCallerGone = errors.New("caller is gone")
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -18,40 +18,47 @@
 
 // relay carries one generation from an agent to a caller.
 type relay struct {
-	request    *request
-	vm         string
+	request *request
+	vm      string
+	// addr is the agent's address, in case its VM leaves the list.
+	addr       string
 	generation string
 	responder  caller.Responder
 	// open starts the generation; nil resumes an existing one.
 	open func(context.Context) (*peer.Stream, error)
+	// replaceable is set if another generation can take over, so that little
+	// time is spent on the connection to this one.
+	replaceable bool
 }
 
 // errCrossed is returned for a frame of another generation.
 var errCrossed = errors.New("frame of another generation")
 
+// errReplaced is returned when the agent's process is known to have ended.
+var errReplaced = errors.New("the target's agent was replaced")
+
 // relay delivers a generation to its end. A broken connection to the agent is
-// resumed from the first token not yet delivered.
+// resumed from the first token not yet taken.
 func (e *Entry) relay(ctx context.Context, rl *relay) *result.Error {
 	open := rl.open
 	if open == nil {
 		open = e.resumeFunc(rl)
 	}
-	delay := resumeDelay
-	for try := 0; ; try++ {
-		before := rl.responder.Delivered()
+	delay, heard := resumeDelay, time.Now()
+	for try, first := 0, rl.open != nil; ; try, first = try+1, false {
+		before := rl.responder.Next()
 		done, err := e.relayOnce(ctx, rl, open)
 		if done != nil {
 			return e.deliverEnd(rl, done)
 		}
-		if failure := e.relayFailure(ctx, rl, err); failure != nil {
+		if failure := relayFailure(ctx, rl, err, first); failure != nil {
 			return failure
 		}
-		if rl.responder.Delivered() > before {
-			try, delay = 0, resumeDelay
+		if rl.responder.Next() > before {
+			try, delay, heard = 0, resumeDelay, time.Now()
 		}
-		if try >= maxResumes || !pause(ctx, delay) {
-			return result.New(result.EngineLost, result.RanUnknown, "the target does not answer").
-				ForGeneration(rl.generation, rl.responder.Delivered())
+		if rl.exhausted(try, heard) || !pause(ctx, delay) {
+			return rl.lost("the target does not answer")
 		}
 		delay = min(2*delay, maxResumeDelay)
 		e.recordResume(rl, err)
@@ -59,33 +66,66 @@
 	}
 }
 
+// exhausted reports whether the connection is not tried again.
+func (rl *relay) exhausted(try int, heard time.Time) bool {
+	if rl.replaceable {
+		return try >= maxReplaceableResumes || time.Since(heard) > replaceablePatience
+	}
+	return try >= maxResumes
+}
+
+// lost returns the error of a generation that cannot be continued.
+func (rl *relay) lost(message string) *result.Error {
+	return rl.fail(result.EngineLost, message)
+}
+
+// fail returns an error that says what was delivered. Delivered tokens prove
+// that the work ran; otherwise only the agent can tell.
+func (rl *relay) fail(code result.Code, message string) *result.Error {
+	delivered := rl.responder.Delivered()
+	ran := result.RanUnknown
+	if delivered > 0 {
+		ran = result.RanYes
+	}
+	return result.New(code, ran, "%s", message).ForGeneration(rl.generation, delivered)
+}
+
 // relayFailure returns the error that ends the relay, or nil if the connection
-// to the agent may be opened again.
-func (e *Entry) relayFailure(ctx context.Context, rl *relay, err error) *result.Error {
+// to the agent may be opened again. Only the refusal of the first message says
+// that the work did not run: a refused resume says nothing of it.
+func relayFailure(ctx context.Context, rl *relay, err error, first bool) *result.Error {
 	var refusal *result.Error
 	switch {
-	case errors.As(err, &refusal) && refusal.Code == result.UnknownGeneration:
-		return result.New(result.EngineLost, result.RanUnknown, "the generation is lost").
-			ForGeneration(rl.generation, rl.responder.Delivered())
-	case errors.As(err, &refusal):
+	case errors.Is(err, errDiverged):
+		return rl.fail(result.ReplayDiverged, "a second run did not reproduce the delivered tokens")
+	case errors.As(err, &refusal) && first:
 		return refusal
+	case errors.As(err, &refusal) && refusal.Code == result.UnknownGeneration, errors.Is(err, errReplaced):
+		return rl.lost("the generation is lost")
+	case errors.As(err, &refusal):
+		return rl.fail(refusal.Code, refusal.Message)
+	case first && peer.NotSent(err):
+		return result.New(result.NoTarget, result.RanNo, "the target does not accept connections").RetryAfter(retryNoTarget)
 	case errors.Is(err, errCallerGone):
-		return result.New(result.Cancelled, result.RanYes, "the caller left")
+		return rl.fail(result.Cancelled, "the caller left")
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return result.New(result.DeadlineExceeded, result.RanUnknown, "the request's time ran out")
+		return rl.fail(result.DeadlineExceeded, "the request's time ran out")
 	case ctx.Err() != nil:
-		return result.New(result.Cancelled, result.RanUnknown, "the caller left")
+		return rl.fail(result.Cancelled, "the caller left")
 	}
 	return nil
 }
 
 func (e *Entry) resumeFunc(rl *relay) func(context.Context) (*peer.Stream, error) {
 	return func(ctx context.Context) (*peer.Stream, error) {
-		m, refusal := e.holder(rl.generation)
-		if refusal != nil {
-			return nil, refusal
+		addr := rl.addr
+		if m := e.members.View().Find(rl.vm); m != nil {
+			addr = m.VM.Addr
+			if !holds(m, rl.generation) {
+				return nil, errReplaced
+			}
 		}
-		return e.peers.Resume(ctx, m.VM.Addr, rl.generation, rl.request.workspace.Name, rl.responder.Delivered())
+		return e.peers.Resume(ctx, addr, rl.generation, rl.request.workspace.Name, rl.responder.Next())
 	}
 }
 
@@ -108,6 +148,7 @@
 		}
 		silence.Reset(silenceLimit)
 		if f.Generation != rl.generation {
+			e.dropped.Add(ctx, 1)
 			return nil, errCrossed
 		}
 		if err := deliver(rl.responder, &f); err != nil {
@@ -120,8 +161,8 @@
 }
 
 func deliver(r caller.Responder, f *peer.Frame) error {
-	if f.Offset > r.Delivered() {
-		return errors.Newf("frame at %d, %d delivered", f.Offset, r.Delivered())
+	if f.Offset > r.Next() {
+		return errors.Newf("frame at %d, %d taken", f.Offset, r.Next())
 	}
 	var err error
 	if len(f.Tokens) > 0 {
@@ -129,24 +170,27 @@
 	} else {
 		err = r.KeepAlive()
 	}
-	if err != nil {
+	if err != nil && !errors.Is(err, errDiverged) {
 		return errors.Mark(err, errCallerGone)
 	}
-	return nil
+	return err
 }
 
 // deliverEnd closes the answer. An answer that is shorter than its end marker
 // says is never passed off as complete.
 func (e *Entry) deliverEnd(rl *relay, f *peer.Frame) *result.Error {
+	delivered := rl.responder.Delivered()
 	if f.Error != nil {
-		return f.Error
+		return f.Error.ForGeneration(rl.generation, delivered)
 	}
-	if f.End.Tokens != rl.responder.Delivered() {
-		return result.New(result.Internal, result.RanYes, "the answer is incomplete").
-			ForGeneration(rl.generation, rl.responder.Delivered())
+	if f.End.Tokens != rl.responder.Next() {
+		return result.New(result.Internal, result.RanYes, "the answer is incomplete").ForGeneration(rl.generation, delivered)
 	}
 	err := rl.responder.Finish(caller.Finish{Reason: f.End.Reason, PromptTokens: f.End.PromptTokens, CompletionTokens: f.End.Tokens})
-	if err != nil {
+	switch {
+	case errors.Is(err, errDiverged):
+		return rl.fail(result.ReplayDiverged, "a second run ended before the delivered tokens")
+	case err != nil:
 		return result.New(result.Cancelled, result.RanYes, "the caller left")
 	}
 	return nil
--- a/internal/faulttest/caller_test.go
+++ b/internal/faulttest/caller_test.go
@@ -19,6 +19,8 @@
 
 // answer is what a caller got for one generation.
 type answer struct {
+	// key is the workspace's key, callerKey if empty.
+	key        string
 	request    string
 	generation string
 	text       string
@@ -48,6 +50,32 @@
 	return readAnswer(ctx, &answer{last: -1}, http.MethodPost, "http://"+addr+"/v1/completions", data, each)
 }
 
+// generateWhole sends a completion whose answer is not streamed.
+func generateWhole(ctx context.Context, addr, service, text string) *answer {
+	a := &answer{last: -1}
+	data, err := json.Marshal(map[string]any{"model": service, "prompt": text, "max_tokens": 20000})
+	if err != nil {
+		a.err = err
+		return a
+	}
+	resp := a.send(ctx, http.MethodPost, "http://"+addr+"/v1/completions", data)
+	if resp == nil {
+		return a
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var out struct {
+		ID      string `json:"id"`
+		Choices []struct {
+			Text string `json:"text"`
+		} `json:"choices"`
+	}
+	if a.err = json.NewDecoder(resp.Body).Decode(&out); a.err != nil || len(out.Choices) != 1 {
+		return a
+	}
+	a.generation, a.text, a.complete = out.ID, out.Choices[0].Text, true
+	return a
+}
+
 // resume goes on with an answer through an entry.
 func (a *answer) resume(ctx context.Context, addr string) *answer {
 	a.err, a.failure = nil, nil
@@ -55,31 +83,46 @@
 }
 
 func readAnswer(ctx context.Context, a *answer, method, url string, body []byte, each func(*answer)) *answer {
+	resp := a.send(ctx, method, url, body)
+	if resp == nil {
+		return a
+	}
+	defer func() { _ = resp.Body.Close() }()
+	a.generation = resp.Header.Get(caller.HeaderGenerationID)
+	a.read(resp.Body, each)
+	return a
+}
+
+// send makes a request and returns a successful response, whose body the
+// caller closes. Otherwise the failure is noted and nil returned.
+func (a *answer) send(ctx context.Context, method, url string, body []byte) *http.Response {
 	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		a.err = err
-		return a
+		return nil
 	}
-	req.Header.Set("Authorization", "Bearer "+callerKey)
+	key := a.key
+	if key == "" {
+		key = callerKey
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
 	if a.last >= 0 {
 		req.Header.Set(caller.HeaderLastEventID, strconv.Itoa(a.last))
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		a.err = err
-		return a
+		return nil
 	}
-	defer func() { _ = resp.Body.Close() }()
 	a.status = resp.StatusCode
 	a.request = resp.Header.Get(caller.HeaderRequestID)
-	if resp.StatusCode != http.StatusOK {
-		text, _ := io.ReadAll(resp.Body)
-		a.failure = result.Decode(text)
-		return a
+	if resp.StatusCode == http.StatusOK {
+		return resp
 	}
-	a.generation = resp.Header.Get(caller.HeaderGenerationID)
-	a.read(resp.Body, each)
-	return a
+	defer func() { _ = resp.Body.Close() }()
+	text, _ := io.ReadAll(resp.Body)
+	a.failure = result.Decode(text)
+	return nil
 }
 
 func (a *answer) read(body io.Reader, each func(*answer)) {
@@ -106,6 +149,7 @@
 		return
 	}
 	var chunk struct {
+		ID      string `json:"id"`
 		Choices []struct {
 			Text string `json:"text"`
 		} `json:"choices"`
@@ -114,6 +158,9 @@
 		a.err = fmt.Errorf("bad chunk %q: %w", event.Data, err)
 		return
 	}
+	if chunk.ID != "" {
+		a.generation = chunk.ID
+	}
 	if chunk.Choices[0].Text == "" {
 		return
 	}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -57,6 +57,8 @@
 	priority int
 	arrived  int64
 	model    string
+	// diverge is the offset from which tokens depend on the engine, 0 for never.
+	diverge int
 
 	tokens []string
 	finish string
@@ -79,6 +81,7 @@
 	arrival int64
 	used    int
 	slow    float64
+	diverge int
 	crashed bool
 	wake    chan struct{}
 	stop    chan struct{}
@@ -130,6 +133,14 @@
 	e.slow = factor
 }
 
+// SetDivergence makes the tokens from an offset on depend on the offset, so
+// that engines with different settings do not reproduce each other's output.
+func (e *Engine) SetDivergence(offset int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.diverge = offset
+}
+
 // Stats returns the counters.
 func (e *Engine) Stats() EngineStats {
 	e.mu.Lock()
@@ -163,7 +174,7 @@
 func (e *Engine) newSequence(id, model, prompt string, maxTokens, priority int, seed *int64) *sequence {
 	s := &sequence{
 		id: id, model: model, prompt: len(prompt)/bytesPerToken + 1, max: maxTokens, priority: priority,
-		changed: make(chan struct{}),
+		diverge: e.diverge, changed: make(chan struct{}),
 	}
 	s.seed = e.rnd.Uint64()
 	if seed != nil {
@@ -193,6 +204,9 @@
 // token returns the text of the token at an offset.
 func (s *sequence) token(i int) string {
 	x := s.seed + uint64(i)*0x9e3779b97f4a7c15
+	if s.diverge > 0 && i >= s.diverge {
+		x += uint64(s.diverge)
+	}
 	x ^= x >> 31
 	x *= 0xbf58476d1ce4e5b9
 	x ^= x >> 27
--- a/peer/client.go
+++ b/peer/client.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
@@ -154,6 +155,13 @@
 	return nil, decodeRefusal(resp)
 }
 
+// NotSent reports whether a transport failure happened before any of the
+// message left: no connection could be opened.
+func NotSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 // decodeRefusal returns the numbered error of a refused message. An answer
 // without one says nothing of whether the work ran.
 func decodeRefusal(resp *http.Response) error {
--- a/peer/message.go
+++ b/peer/message.go
@@ -147,6 +147,9 @@
 	// Incarnation is the agent process that the work was sent to. Another one
 	// knows nothing of it.
 	Incarnation string `json:"incarnation"`
+	// Cancel also ends a generation that has begun. Calls that have begun are
+	// carried through.
+	Cancel bool `json:"cancel,omitempty"`
 }
 
 // Revoked answers Revoke. If Began is false the work has not started and,
