--- a/agent/agent.go
+++ b/agent/agent.go
@@ -9,7 +9,6 @@
 	"crypto/rand"
 	"encoding/hex"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +20,7 @@
 	"github.com/quetzalglade/quetzalglade/config"
 	"github.com/quetzalglade/quetzalglade/configsync"
 	"github.com/quetzalglade/quetzalglade/decision"
+	"github.com/quetzalglade/quetzalglade/internal/httpclient"
 	"github.com/quetzalglade/quetzalglade/internal/httpserve"
 	"github.com/quetzalglade/quetzalglade/peer"
 	"github.com/quetzalglade/quetzalglade/platform"
@@ -95,7 +95,7 @@
 		generations: newTable(),
 	}
 	a.base, a.cancel = context.WithCancel(context.Background())
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: opts.Limits.Slots}}
+	client := httpclient.New(httpclient.Options{IdlePerHost: opts.Limits.Slots})
 	if opts.EngineURL != "" {
 		a.engine = target.NewEngine(opts.EngineURL, client)
 	} else {
--- a/entry/call.go
+++ b/entry/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -77,8 +78,11 @@
 	return c.runOnce(r.Context(), key)
 }
 
+// servicePath returns path and query below the service's root, escaped as the
+// caller sent them.
 func servicePath(r *http.Request) string {
-	path := "/" + r.PathValue("path")
+	_, path, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/s/"), "/")
+	path = "/" + path
 	if r.URL.RawQuery != "" {
 		path += "?" + r.URL.RawQuery
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -8,7 +8,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +20,7 @@
 	"github.com/quetzalglade/quetzalglade/claim"
 	"github.com/quetzalglade/quetzalglade/configsync"
 	"github.com/quetzalglade/quetzalglade/decision"
+	"github.com/quetzalglade/quetzalglade/internal/httpclient"
 	"github.com/quetzalglade/quetzalglade/internal/httpserve"
 	"github.com/quetzalglade/quetzalglade/membership"
 	"github.com/quetzalglade/quetzalglade/peer"
@@ -84,8 +84,7 @@
 	if err != nil {
 		return nil, err
 	}
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: peerConnsPerHost}}
-	peers := peer.NewClient(client, opts.Keys)
+	peers := peer.NewClient(httpclient.New(httpclient.Options{IdlePerHost: peerConnsPerHost}), opts.Keys)
 	return &Entry{
 		opts:     opts,
 		recorder: telemetry.NewRecorder(opts.Logger, decisionRing),
--- a/internal/faulttest/fleet_test.go
+++ b/internal/faulttest/fleet_test.go
@@ -36,7 +36,9 @@
 	// agentSettings and entrySettings are INI lines to append.
 	agentSettings string
 	entrySettings string
-	documents     []config.Document
+	// targetSettings are lines of the agents' [target] section.
+	targetSettings string
+	documents      []config.Document
 }
 
 // target is one target VM: stand-in, agent and the proxies around the agent.
@@ -159,7 +161,7 @@
 	f.t.Helper()
 	addr := freeAddr(f.t)
 	text := fmt.Sprintf("[process]\nvm = %s\nlisten = %s\ndatacentre = c1\nregion = central\nkeys = %s\n[target]\n%s[platform]\nstore = http://%s\n%s",
-		vm, addr, fleetKey, targetLines, f.storeProxy.addr(), o.agentSettings)
+		vm, addr, fleetKey, targetLines+o.targetSettings, f.storeProxy.addr(), o.agentSettings)
 	tg.agent = startDaemon(f.t, "quetzalglade-agent", vm, addr, text)
 	tg.inbound = newProxy(f.t, addr)
 	tg.vm = platform.VM{Name: vm, Addr: tg.inbound.addr(), Role: platform.RoleTarget, State: platform.VMLive, Datacentre: "c1", Region: "central"}
--- a/internal/faulttest/process_test.go
+++ b/internal/faulttest/process_test.go
@@ -15,6 +15,12 @@
 	"syscall"
 	"testing"
 	"time"
+
+	// The daemons are built from these packages: a change of one must
+	// invalidate cached test results.
+	_ "github.com/quetzalglade/quetzalglade/agent"
+	_ "github.com/quetzalglade/quetzalglade/entry"
+	_ "github.com/quetzalglade/quetzalglade/internal/command"
 )
 
 // binaries builds the daemons once for all tests.
--- /dev/null
+++ b/internal/httpclient/httpclient.go
@@ -0,0 +1,42 @@
+// Package httpclient builds the HTTP clients of the daemons.
+package httpclient
+
+import (
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Limits of every client's connections.
+const (
+	dialTimeout      = 2 * time.Second
+	handshakeTimeout = 3 * time.Second
+	idleTimeout      = 90 * time.Second
+	keepAlivePeriod  = 15 * time.Second
+)
+
+// Options describe a client.
+type Options struct {
+	// IdlePerHost is the number of idle connections kept to one host.
+	IdlePerHost int
+	// TLS is used for https addresses; nil selects the system's roots.
+	TLS *tls.Config
+}
+
+// New returns a client that dials within a bounded time, uses no proxy of the
+// environment and does not follow redirects: a followed redirect could run a
+// call a second time.
+func New(o Options) *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			TLSClientConfig:     o.TLS,
+			TLSHandshakeTimeout: handshakeTimeout,
+			MaxIdleConnsPerHost: o.IdlePerHost,
+			IdleConnTimeout:     idleTimeout,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -57,6 +57,7 @@
 	priority int
 	arrived  int64
 	model    string
+	text     string
 	// diverge is the offset from which tokens depend on the engine, 0 for never.
 	diverge int
 
@@ -87,6 +88,8 @@
 	stop    chan struct{}
 	started time.Time
 	stats   EngineStats
+	// runs counts started completions by prompt.
+	runs    map[string]int
 	reports []timedReport
 	orders  orderLog
 }
@@ -105,6 +108,7 @@
 func NewEngine(opts EngineOptions) *Engine {
 	e := &Engine{
 		opts: opts, rnd: rand.New(rand.NewPCG(opts.Seed, opts.Seed)), byID: map[string]*sequence{},
+		runs: map[string]int{},
 		slow: 1, wake: make(chan struct{}, 1), stop: make(chan struct{}), started: time.Now(),
 	}
 	e.orders.models = append([]string(nil), opts.Models...)
@@ -159,6 +163,24 @@
 	return append([]string(nil), s.tokens...)
 }
 
+// Prompt returns the prompt of a completion.
+func (e *Engine) Prompt(id string) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.byID[id]
+	if s == nil {
+		return ""
+	}
+	return s.text
+}
+
+// Runs returns the number of completions of a prompt that were started.
+func (e *Engine) Runs(prompt string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runs[prompt]
+}
+
 // Markers in a prompt steer the stand-in: <<len=N>> sets the output length,
 // <<crash>> stops the engine once the prompt is computed.
 var (
@@ -173,7 +195,7 @@
 
 func (e *Engine) newSequence(id, model, prompt string, maxTokens, priority int, seed *int64) *sequence {
 	s := &sequence{
-		id: id, model: model, prompt: len(prompt)/bytesPerToken + 1, max: maxTokens, priority: priority,
+		id: id, model: model, text: prompt, prompt: len(prompt)/bytesPerToken + 1, max: maxTokens, priority: priority,
 		diverge: e.diverge, changed: make(chan struct{}),
 	}
 	s.seed = e.rnd.Uint64()
@@ -224,6 +246,7 @@
 	s.arrived = e.arrival
 	e.byID[s.id] = s
 	e.stats.Started++
+	e.runs[s.text]++
 	e.enqueue(s)
 	select {
 	case e.wake <- struct{}{}:
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -22,10 +22,12 @@
 	mu      sync.Mutex
 	effects []Effect
 	lookups int
+	// runs counts calls by request URI.
+	runs map[string]int
 }
 
 // NewPlain returns a service whose calls take the delay.
-func NewPlain(delay time.Duration) *Plain { return &Plain{Delay: delay} }
+func NewPlain(delay time.Duration) *Plain { return &Plain{Delay: delay, runs: map[string]int{}} }
 
 // Effects returns what ran, in order.
 func (p *Plain) Effects() []Effect {
@@ -41,6 +43,13 @@
 	return p.lookups
 }
 
+// Runs returns the number of calls of a request URI that ran.
+func (p *Plain) Runs(uri string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.runs[uri]
+}
+
 // maxPlainBody bounds a call's body, in bytes.
 const maxPlainBody = 1 << 20
 
@@ -66,6 +75,7 @@
 func (p *Plain) run(r *http.Request, body string) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.runs[r.URL.RequestURI()]++
 	if r.Method == http.MethodGet {
 		p.lookups++
 		return p.lookups
--- a/target/plain.go
+++ b/target/plain.go
@@ -46,29 +46,31 @@
 // Do makes the call once. An error after the request was sent leaves it open
 // whether the service ran it.
 func (p *Plain) Do(ctx context.Context, call PlainCall) (*PlainReply, error) {
-	req, err := http.NewRequestWithContext(ctx, call.Method, p.base+call.Path, bytes.NewReader(call.Body))
+	// net/http sends a request again on a connection that the service closed
+	// if its method is safe and it has no body or can rewind it. A body of a
+	// plain io.ReadCloser rules that out: a call is sent once.
+	body := io.NopCloser(bytes.NewReader(call.Body))
+	req, err := http.NewRequestWithContext(ctx, call.Method, p.base+call.Path, body)
 	if err != nil {
 		return nil, errors.Wrap(err, "service request")
 	}
+	req.ContentLength = int64(len(call.Body))
 	for k, v := range call.Header {
 		req.Header.Set(k, v)
 	}
-	// Without GetBody and with this header unset net/http could repeat a call
-	// on a connection that the service closed; a call is sent once.
-	req.GetBody = nil
 	resp, err := p.http.Do(req)
 	if err != nil {
 		return nil, errors.Wrap(err, "service")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReply+1))
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReply+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "service reply")
 	}
-	if len(body) > maxReply {
+	if len(data) > maxReply {
 		return nil, ErrReplyTooLarge
 	}
-	reply := &PlainReply{Status: resp.StatusCode, Header: map[string]string{}, Body: body}
+	reply := &PlainReply{Status: resp.StatusCode, Header: map[string]string{}, Body: data}
 	if ct := resp.Header.Get("Content-Type"); ct != "" {
 		reply.Header["Content-Type"] = ct
 	}
