--- a/target/plain_test.go
+++ b/target/plain_test.go
@@ -15,7 +15,9 @@
 func TestPlainSendsOnce(t *testing.T) {
 	faults := map[string]http.HandlerFunc{
 		"connection closed": func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
-		"redirect":          func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, r.URL.Path, http.StatusTemporaryRedirect) },
+		"redirect": func(w http.ResponseWriter, r *http.Request) {
+			http.Redirect(w, r, r.URL.Path, http.StatusTemporaryRedirect)
+		},
 	}
 	for name, fault := range faults {
 		for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodDelete} {
