Keep accepted work and unread generations through a planned stop

Cause: a stopping agent waited only for work that its target had started. Work that still waited, and an ended generation whose caller was about to resume, were lost; an agent without work ended before the entries had learned of it, so that their next messages were refused by the connection.

Change: a drain lasts at least drain_grace, until no accepted work is left and every generation was sent to its end or its resume grace is over. A stopping entry asks callers not to reuse connections.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -47,6 +47,9 @@
 	Logger log.Logger
 	// Limits bound the target's work.
 	Limits decision.QueueLimits
+	// DrainGrace is how long a stopping agent answers other processes at
+	// least, so that they notice.
+	DrainGrace time.Duration
 	// DrainLimit bounds the wait for running work at a stop.
 	DrainLimit time.Duration
 }
@@ -75,7 +78,9 @@
 	incarnationBytes   = 6
 	defaultSlots       = 64
 	defaultQueueLength = 1024
+	defaultDrainGrace  = 3 * time.Second
 	defaultDrainLimit  = 30 * time.Minute
+	drainPoll          = 20 * time.Millisecond
 )
 
 // New returns an agent; Serve runs it.
@@ -124,6 +129,9 @@
 	if o.Limits.Length == 0 {
 		o.Limits.Length = defaultQueueLength
 	}
+	if o.DrainGrace == 0 {
+		o.DrainGrace = defaultDrainGrace
+	}
 	if o.DrainLimit == 0 {
 		o.DrainLimit = defaultDrainLimit
 	}
@@ -171,19 +179,34 @@
 	return err
 }
 
-// drain refuses new work and waits for running work and its delivery.
+// drain refuses new work and waits for accepted work and its delivery. It
+// lasts at least the drain grace, so that every entry has learned of it before
+// connections are refused.
 func (a *Agent) drain() {
 	a.setDraining(true, "stop")
-	idle := make(chan struct{})
-	go func() {
-		a.work.Wait()
-		close(idle)
-	}()
-	select {
-	case <-idle:
-	case <-time.After(a.opts.DrainLimit):
-		telemetry.Warn(a.opts.Logger, "drain limit reached with work in progress")
-	}
+	grace := time.After(a.opts.DrainGrace)
+	limit := time.After(a.opts.DrainLimit)
+	poll := time.NewTicker(drainPoll)
+	defer poll.Stop()
+	for graceOver := false; !graceOver || !a.idle(); {
+		select {
+		case <-grace:
+			graceOver = true
+		case <-limit:
+			telemetry.Warn(a.opts.Logger, "drain limit reached with work in progress")
+			return
+		case <-poll.C:
+		}
+	}
+	a.work.Wait()
+}
+
+// idle reports whether no accepted work is left and every generation was sent
+// to its end. A generation that nobody listens to is kept for its grace.
+func (a *Agent) idle() bool {
+	busy := false
+	a.control.do(func(s *state) { busy = len(s.jobs) > 0 })
+	return !busy && !a.generations.undelivered()
 }
 
 func (a *Agent) setDraining(on bool, reason string) {
--- a/agent/generation.go
+++ b/agent/generation.go
@@ -20,6 +20,7 @@
 	tokens    []string
 	end       *peer.End
 	err       *result.Error
+	delivered bool
 	listeners map[chan struct{}]struct{}
 	// abandoned is signalled when the last listener leaves.
 	abandoned chan struct{}
@@ -101,6 +102,19 @@
 	return true
 }
 
+// markDelivered notes that a listener was sent the end.
+func (g *generation) markDelivered() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.delivered = true
+}
+
+func (g *generation) wasDelivered() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.delivered
+}
+
 func (g *generation) count() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/agent/server.go
+++ b/agent/server.go
@@ -173,6 +173,7 @@
 		admitted = frame.Admitted
 		from += len(frame.Tokens)
 		if last {
+			g.markDelivered()
 			return
 		}
 		idle.Reset(keepAlive)
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -21,6 +21,7 @@
 		Datacentre string        `ini:"datacentre" help:"data centre of this VM"`
 		Region     string        `ini:"region" help:"region of this VM"`
 		Keys       []string      `ini:"keys" help:"shared keys of the fleet; the first is sent, all are accepted"`
+		DrainGrace time.Duration `ini:"drain_grace" help:"time after a stop signal in which other processes are answered at least"`
 		DrainLimit time.Duration `ini:"drain_limit" help:"longest wait for running work at a stop"`
 	} `ini:"process"`
 	Target struct {
@@ -40,6 +41,7 @@
 func DefaultSettings() Settings {
 	var s Settings
 	s.Process.Listen = "127.0.0.1:8081"
+	s.Process.DrainGrace = defaultDrainGrace
 	s.Process.DrainLimit = defaultDrainLimit
 	s.Target.Slots = defaultSlots
 	s.Target.Queue = defaultQueueLength
@@ -61,6 +63,6 @@
 		Listener: listener, EngineURL: s.Target.Engine, PlainURL: s.Target.Plain, Keys: peer.Keys(s.Process.Keys),
 		Store:  platform.NewGateway(s.Platform.Store, &http.Client{}, s.Platform.StoreTimeout),
 		Logger: logger, Limits: decision.QueueLimits{Slots: s.Target.Slots, Length: s.Target.Queue},
-		DrainLimit: s.Process.DrainLimit,
+		DrainGrace: s.Process.DrainGrace, DrainLimit: s.Process.DrainLimit,
 	}, nil
 }
--- a/agent/table.go
+++ b/agent/table.go
@@ -47,6 +47,18 @@
 	return nil
 }
 
+// undelivered reports whether any generation was not sent to its end.
+func (t *table) undelivered() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, g := range t.byID {
+		if !g.wasDelivered() {
+			return true
+		}
+	}
+	return false
+}
+
 func (t *table) remove(id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/entry/server.go
+++ b/entry/server.go
@@ -30,7 +30,18 @@
 	mux.Handle("GET /metrics", e.metrics.Handler())
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", e.handleReady)
-	return mux
+	return e.closeWhileStopping(mux)
+}
+
+// closeWhileStopping asks callers of a stopping entry not to reuse their
+// connections, so that no request is sent on one that is about to be closed.
+func (e *Entry) closeWhileStopping(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func (e *Entry) handleReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -156,6 +156,7 @@
 	}
 	opts.VM, opts.Datacentre, opts.Region = vm, p.Datacentre, p.Region
 	opts.Listener, opts.Keys, opts.Store, opts.Logger = l, f.keys, f.Client, f.opts.Logger
+	opts.DrainGrace = demoGrace
 	a, err := agent.New(opts)
 	if err != nil {
 		return err
--- a/internal/faulttest/caller_test.go
+++ b/internal/faulttest/caller_test.go
@@ -191,9 +191,11 @@
 	return resp.StatusCode, string(data), result.Decode(data), err
 }
 
+// fleetClient returns a client of the daemons' interface for each other.
+func fleetClient() *peer.Client { return peer.NewClient(http.DefaultClient, peer.Keys{fleetKey}) }
+
 // sees reports whether an entry has n usable targets.
 func (f *fleet) sees(e *process, n int) bool {
-	client := peer.NewClient(http.DefaultClient, peer.Keys{fleetKey})
-	st, err := client.State(context.Background(), e.addr)
+	st, err := fleetClient().State(context.Background(), e.addr)
 	return err == nil && st.UsableTargets == n
 }
--- a/internal/faulttest/fleet_test.go
+++ b/internal/faulttest/fleet_test.go
@@ -39,6 +39,8 @@
 	// targetSettings are lines of the agents' [target] section.
 	targetSettings string
 	documents      []config.Document
+	// balancerGrace is the entries' grace, 50 ms if zero.
+	balancerGrace time.Duration
 }
 
 // target is one target VM: stand-in, agent and the proxies around the agent.
@@ -172,8 +174,8 @@
 func (f *fleet) addEntry(vm string, o fleetOptions) *process {
 	f.t.Helper()
 	addr := freeAddr(f.t)
-	text := fmt.Sprintf("[process]\nvm = %s\nlisten = %s\ndatacentre = c1\nregion = central\nkeys = %s\nbalancer_grace = 50ms\n[platform]\nstore = http://%s\nvm_list = %s\n%s",
-		vm, addr, fleetKey, f.storeProxy.addr(), f.listURL, o.entrySettings)
+	text := fmt.Sprintf("[process]\nvm = %s\nlisten = %s\ndatacentre = c1\nregion = central\nkeys = %s\nbalancer_grace = %s\n[platform]\nstore = http://%s\nvm_list = %s\n%s",
+		vm, addr, fleetKey, max(o.balancerGrace, 50*time.Millisecond), f.storeProxy.addr(), f.listURL, o.entrySettings)
 	p := startDaemon(f.t, "quetzalglade-entry", vm, addr, text)
 	f.entries = append(f.entries, p)
 	return p
--- a/internal/faulttest/history_test.go
+++ b/internal/faulttest/history_test.go
@@ -39,8 +39,9 @@
 
 // workload is a set of concurrent callers with distinct requests.
 type workload struct {
-	f       *fleet
-	addrs   []string
+	f *fleet
+	// pick returns the address of an entry.
+	pick    func() string
 	callers int
 	// length bounds the output's tokens.
 	length int
@@ -68,7 +69,7 @@
 func (w *workload) request(name string, r *rand.Rand) {
 	limit, cancel := context.WithTimeout(context.Background(), answerWait)
 	defer cancel()
-	addr, other := w.addrs[r.IntN(len(w.addrs))], w.addrs[r.IntN(len(w.addrs))]
+	addr := w.pick()
 	kind := r.IntN(10)
 	if !w.calls {
 		kind = r.IntN(6)
@@ -76,10 +77,10 @@
 	text := prompt(name, 1+r.IntN(w.length))
 	switch {
 	case kind < 3:
-		w.add(&observation{prompt: text, answer: resumed(limit, other, generate(limit, addr, "guide", text, nil, nil))})
+		w.add(&observation{prompt: text, answer: resumed(limit, w.pick, generate(limit, addr, "guide", text, nil, nil))})
 	case kind < 5:
 		seed := int64(r.IntN(1000))
-		w.add(&observation{prompt: text, answer: resumed(limit, other, generate(limit, addr, "triage", text, &seed, nil))})
+		w.add(&observation{prompt: text, answer: resumed(limit, w.pick, generate(limit, addr, "triage", text, &seed, nil))})
 	case kind < 6:
 		w.add(&observation{prompt: text, answer: generateWhole(limit, addr, "guide", text)})
 	case kind < 8:
@@ -99,13 +100,13 @@
 const resumeTries = 3
 
 // resumed goes on with an answer whose connection broke.
-func resumed(ctx context.Context, addr string, a *answer) *answer {
+func resumed(ctx context.Context, pick func() string, a *answer) *answer {
 	for range resumeTries {
 		if a.complete || a.failure != nil || a.generation == "" {
 			return a
 		}
 		time.Sleep(50 * time.Millisecond)
-		a = a.resume(ctx, addr)
+		a = a.resume(ctx, pick())
 	}
 	return a
 }
--- a/internal/faulttest/truth_test.go
+++ b/internal/faulttest/truth_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -64,12 +65,10 @@
 		engines: 2, plains: 2, entries: 2, engine: engine, plainDelay: 5 * time.Millisecond, documents: loadedDocuments(),
 		targetSettings: "slots = 4\nqueue = 8\n",
 	})
-	var addrs []string
-	for _, e := range f.entries {
-		addrs = append(addrs, e.addr)
-	}
+	var next atomic.Int64
+	pick := func() string { return f.entries[int(next.Add(1))%len(f.entries)].addr }
 	Convey("No request is told more than is true", t, func() {
-		w := &workload{f: f, addrs: addrs, callers: 24, length: 60, calls: true}
+		w := &workload{f: f, pick: pick, callers: 24, length: 60, calls: true}
 		ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
 		defer cancel()
 		done := make(chan struct{})
