--- a/entry/entry.go
+++ b/entry/entry.go
@@ -39,6 +39,8 @@
 	Store    platform.Store
 	List     membership.Lister
 	Logger   log.Logger
+	// Dial opens the connections to agents; nil selects the standard dialer.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// Policy selects the routing policy, least_work if empty.
 	Policy decision.Policy
 	// BalancerGrace is how long a stopping entry still accepts requests, so
@@ -61,6 +63,10 @@
 	dropped  metric.Int64Counter
 	stopping atomic.Bool
 
+	tokens     metric.Int64Counter
+	firstToken metric.Float64Histogram
+	duration   metric.Float64Histogram
+
 	routeMu sync.Mutex
 	router  *decision.Router
 	// sent counts the requests in progress by target VM.
@@ -84,10 +90,10 @@
 	if err != nil {
 		return nil, err
 	}
-	peers := peer.NewClient(httpclient.New(httpclient.Options{IdlePerHost: peerConnsPerHost}), opts.Keys)
-	return &Entry{
+	peers := peer.NewClient(httpclient.New(httpclient.Options{IdlePerHost: peerConnsPerHost, Dial: opts.Dial}), opts.Keys)
+	e := &Entry{
 		opts:     opts,
-		recorder: telemetry.NewRecorder(opts.Logger, decisionRing),
+		recorder: telemetry.NewRecorder(opts.Logger, metrics, decisionRing),
 		metrics:  metrics,
 		config:   configsync.New(configsync.Options{Store: opts.Store, Logger: opts.Logger}),
 		members:  membership.New(membership.Options{List: opts.List, Peers: peers, Logger: opts.Logger}),
@@ -96,7 +102,23 @@
 		dropped:  metrics.Counter("crossed_replies", "replies of another generation or call that were dropped"),
 		router:   decision.NewRouter(opts.Policy, opts.Datacentre, opts.Region),
 		sent:     map[string]int{},
-	}, nil
+	}
+	e.registerInstruments()
+	return e, nil
+}
+
+// Upper bounds of the histograms, in seconds.
+var (
+	firstTokenBounds = []float64{0.05, 0.1, 0.2, 0.45, 1, 2, 5, 10, 30}
+	requestBounds    = []float64{0.01, 0.05, 0.1, 0.5, 1, 5, 10, 60, 300, 1800}
+)
+
+func (e *Entry) registerInstruments() {
+	e.metrics.Gauge("usable_targets", "Targets that may get new work.", func() int64 { return int64(e.UsableTargets()) })
+	e.metrics.Gauge("config_version", "Configuration version in force here.", e.Version)
+	e.tokens = e.metrics.Counter("tokens", "Tokens delivered to callers.")
+	e.firstToken = e.metrics.Duration("first_token", "Time from a request's arrival to its first token.", firstTokenBounds...)
+	e.duration = e.metrics.Duration("request", "Time from a request's arrival to its end.", requestBounds...)
 }
 
 func (o *Options) check() error {
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -151,7 +151,7 @@
 			e.dropped.Add(ctx, 1)
 			return nil, errCrossed
 		}
-		if err := deliver(rl.responder, &f); err != nil {
+		if err := e.deliver(rl, &f); err != nil {
 			return nil, err
 		}
 		if f.End != nil || f.Error != nil {
@@ -160,7 +160,9 @@
 	}
 }
 
-func deliver(r caller.Responder, f *peer.Frame) error {
+func (e *Entry) deliver(rl *relay, f *peer.Frame) error {
+	r := rl.responder
+	before := r.Delivered()
 	if f.Offset > r.Next() {
 		return errors.Newf("frame at %d, %d taken", f.Offset, r.Next())
 	}
@@ -173,9 +175,21 @@
 	if err != nil && !errors.Is(err, errDiverged) {
 		return errors.Mark(err, errCallerGone)
 	}
+	e.countDelivered(rl, before)
 	return err
 }
 
+// countDelivered updates the metrics after tokens were handed to the caller.
+func (e *Entry) countDelivered(rl *relay, before int) {
+	n := rl.responder.Delivered() - before
+	if before == 0 && n > 0 {
+		e.firstToken.Record(context.Background(), time.Since(rl.request.arrived).Seconds())
+	}
+	if n > 0 {
+		e.tokens.Add(context.Background(), int64(n))
+	}
+}
+
 // deliverEnd closes the answer. An answer that is shorter than its end marker
 // says is never passed off as complete.
 func (e *Entry) deliverEnd(rl *relay, f *peer.Frame) *result.Error {
@@ -187,6 +201,7 @@
 		return result.New(result.Internal, result.RanYes, "the answer is incomplete").ForGeneration(rl.generation, delivered)
 	}
 	err := rl.responder.Finish(caller.Finish{Reason: f.End.Reason, PromptTokens: f.End.PromptTokens, CompletionTokens: f.End.Tokens})
+	e.countDelivered(rl, delivered)
 	switch {
 	case errors.Is(err, errDiverged):
 		return rl.fail(result.ReplayDiverged, "a second run ended before the delivered tokens")
@@ -211,6 +226,6 @@
 func (e *Entry) recordResume(rl *relay, err error) {
 	e.recorder.Record(telemetry.Decision{
 		Kind: telemetry.KindResume, Request: rl.request.id, Generation: rl.generation, Workspace: rl.request.workspace.Name,
-		Target: rl.vm, Choice: "resume the stream", Reason: err.Error(), Version: rl.request.config.Version,
+		Target: rl.vm, Choice: "resume the stream", Reason: "agent_stream_broken", Detail: err.Error(), Version: rl.request.config.Version,
 	})
 }
--- a/internal/httpclient/httpclient.go
+++ b/internal/httpclient/httpclient.go
@@ -2,6 +2,7 @@
 package httpclient
 
 import (
+	"context"
 	"crypto/tls"
 	"net"
 	"net/http"
@@ -20,6 +21,8 @@
 type Options struct {
 	// IdlePerHost is the number of idle connections kept to one host.
 	IdlePerHost int
+	// Dial replaces the dialler, for tests and trials.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// TLS is used for https addresses; nil selects the system's roots.
 	TLS *tls.Config
 }
@@ -28,10 +31,13 @@
 // environment and does not follow redirects: a followed redirect could run a
 // call a second time.
 func New(o Options) *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
+	dial := o.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}).DialContext
+	}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         dial,
 			TLSClientConfig:     o.TLS,
 			TLSHandshakeTimeout: handshakeTimeout,
 			MaxIdleConnsPerHost: o.IdlePerHost,
