--- a/agent/agent.go
+++ b/agent/agent.go
@@ -65,6 +65,8 @@
 	config      *configsync.Follower
 	control     *control
 	generations *table
+	once        *onceTable
+	started     time.Time
 	state       atomic.Pointer[peer.State]
 	work        sync.WaitGroup
 	// base is the context of work at the target; it outlives requests.
@@ -98,6 +100,8 @@
 		recorder:    telemetry.NewRecorder(opts.Logger, metrics, decisionRing),
 		metrics:     metrics,
 		generations: newTable(),
+		once:        newOnceTable(),
+		started:     time.Now(),
 	}
 	a.base, a.cancel = context.WithCancel(context.Background())
 	client := httpclient.New(httpclient.Options{IdlePerHost: opts.Limits.Slots})
@@ -106,9 +110,7 @@
 	} else {
 		a.plain = target.NewPlain(opts.PlainURL, client)
 	}
-	if opts.Store != nil {
-		a.config = configsync.New(configsync.Options{Store: opts.Store, Logger: opts.Logger})
-	}
+	a.config = newFollower(&opts)
 	a.control = newControl(a)
 	a.registerGauges()
 	return a, nil
@@ -163,7 +165,7 @@
 	if a.engine != nil {
 		core.Add(&engineProbe{agent: a})
 	}
-	if a.config != nil {
+	if a.opts.Store != nil {
 		core.Add(a.config)
 	}
 	core.Add(httpserve.New("agent peers", a.opts.Listener, a.handler(), a.opts.DrainLimit))
@@ -228,15 +230,14 @@
 }
 
 // State returns what the agent tells other processes of itself.
-func (a *Agent) State() peer.State { return *a.state.Load() }
-
-func (a *Agent) configuration() *config.Config {
-	if a.config == nil {
-		return nil
-	}
-	return a.config.Current()
+func (a *Agent) State() peer.State {
+	st := *a.state.Load()
+	st.UptimeMillis = a.uptime().Milliseconds()
+	return st
 }
 
+func (a *Agent) configuration() *config.Config { return a.config.Current() }
+
 func (a *Agent) logEvent(e suture.Event) {
 	telemetry.Warn(a.opts.Logger, "supervisor event", "event", e.String())
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -48,6 +48,11 @@
 	BalancerGrace time.Duration
 	// DrainLimit bounds the wait for answers in progress at a stop.
 	DrainLimit time.Duration
+	// ClaimRetention is how long the outcome of a call with the caller's key is
+	// kept.
+	ClaimRetention time.Duration
+	// Claims bound the store writes for claims.
+	Claims claim.BatchOptions
 }
 
 // Entry serves callers.
@@ -61,6 +66,7 @@
 	claims   *claim.Registry
 	// dropped counts frames of another generation or call than expected.
 	dropped  metric.Int64Counter
+	batcher  *claim.Batcher
 	stopping atomic.Bool
 
 	tokens     metric.Int64Counter
@@ -79,6 +85,8 @@
 	defaultBalancerGrace = 2 * time.Second
 	defaultDrainLimit    = 30 * time.Minute
 	peerConnsPerHost     = 256
+	// defaultClaimRetention has to exceed the longest call by far.
+	defaultClaimRetention = 24 * time.Hour
 )
 
 // New returns an entry; Serve runs it.
@@ -91,15 +99,18 @@
 		return nil, err
 	}
 	peers := peer.NewClient(httpclient.New(httpclient.Options{IdlePerHost: peerConnsPerHost, Dial: opts.Dial}), opts.Keys)
+	members, follower := newFleetView(&opts, peers)
+	batcher := claim.NewBatcher(opts.Store, opts.Claims)
 	e := &Entry{
 		opts:     opts,
 		recorder: telemetry.NewRecorder(opts.Logger, metrics, decisionRing),
 		metrics:  metrics,
-		config:   configsync.New(configsync.Options{Store: opts.Store, Logger: opts.Logger}),
-		members:  membership.New(membership.Options{List: opts.List, Peers: peers, Logger: opts.Logger}),
+		config:   follower,
+		members:  members,
 		peers:    peers,
-		claims:   claim.NewRegistry(opts.Store),
 		dropped:  metrics.Counter("crossed_replies", "replies of another generation or call that were dropped"),
+		claims:   claim.NewRegistry(opts.Store, batcher, opts.ClaimRetention),
+		batcher:  batcher,
 		router:   decision.NewRouter(opts.Policy, opts.Datacentre, opts.Region),
 		sent:     map[string]int{},
 	}
@@ -134,6 +145,9 @@
 	if o.BalancerGrace == 0 {
 		o.BalancerGrace = defaultBalancerGrace
 	}
+	if o.ClaimRetention == 0 {
+		o.ClaimRetention = defaultClaimRetention
+	}
 	if o.DrainLimit == 0 {
 		o.DrainLimit = defaultDrainLimit
 	}
@@ -147,6 +161,7 @@
 	core := suture.New("entry", suture.Spec{EventHook: e.logEvent, Timeout: e.opts.DrainLimit})
 	core.Add(e.config)
 	core.Add(e.members)
+	core.Add(e.batcher)
 	front := suture.New("entry callers", suture.Spec{EventHook: e.logEvent, Timeout: e.opts.DrainLimit})
 	front.Add(httpserve.New("entry callers", e.opts.Listener, e.handler(), e.opts.DrainLimit))
 	detached := context.WithoutCancel(ctx)
@@ -198,7 +213,7 @@
 	now := time.Now()
 	view := e.members.View()
 	for i := range view.Members {
-		if view.Members[i].Usable(now, e.members.DeadAfter()) {
+		if view.Members[i].Usable(now) {
 			n++
 		}
 	}
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -232,7 +232,7 @@
 // process that the generation's id names, as far as is known.
 func holds(m *membership.Member, id string) bool {
 	_, incarnation, ok := peer.ParseGenerationID(id)
-	return ok && (m.State.Incarnation == "" || m.State.Incarnation == incarnation)
+	return ok && !m.Replaced(incarnation, time.Now())
 }
 
 func (e *Entry) handleResume(w http.ResponseWriter, r *http.Request) {
--- a/internal/faulttest/fleet_test.go
+++ b/internal/faulttest/fleet_test.go
@@ -177,6 +177,7 @@
 	text := fmt.Sprintf("[process]\nvm = %s\nlisten = %s\ndatacentre = c1\nregion = central\nkeys = %s\nbalancer_grace = %s\n[platform]\nstore = http://%s\nvm_list = %s\n%s",
 		vm, addr, fleetKey, max(o.balancerGrace, 50*time.Millisecond), f.storeProxy.addr(), f.listURL, o.entrySettings)
 	p := startDaemon(f.t, "quetzalglade-entry", vm, addr, text)
+	f.vms.Put(platform.VM{Name: vm, Addr: addr, Role: platform.RoleEntry, State: platform.VMLive, Datacentre: "c1", Region: "central"})
 	f.entries = append(f.entries, p)
 	f.vms.Put(platform.VM{Name: vm, Addr: addr, Role: platform.RoleEntry, State: platform.VMLive, Datacentre: "c1", Region: "central"})
 	return p
