--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -21,10 +21,12 @@
 	delay   time.Duration
 	effects []Effect
 	lookups int
+	// runs counts calls by request URI.
+	runs map[string]int
 }
 
 // NewPlain returns a service whose calls take the delay.
-func NewPlain(delay time.Duration) *Plain { return &Plain{delay: delay} }
+func NewPlain(delay time.Duration) *Plain { return &Plain{delay: delay, runs: map[string]int{}} }
 
 // SetDelay changes the time that a call takes.
 func (p *Plain) SetDelay(d time.Duration) {
@@ -53,6 +55,13 @@
 	return p.lookups
 }
 
+// Runs returns the number of calls of a request URI that ran.
+func (p *Plain) Runs(uri string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.runs[uri]
+}
+
 // maxPlainBody bounds a call's body, in bytes.
 const maxPlainBody = 1 << 20
 
@@ -78,6 +87,7 @@
 func (p *Plain) run(r *http.Request, body string) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.runs[r.URL.RequestURI()]++
 	if r.Method == http.MethodGet {
 		p.lookups++
 		return p.lookups
