--- a/peer/client.go
+++ b/peer/client.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
@@ -24,8 +25,10 @@
 // goroutine. A transport failure is returned as is; a refusal by the other
 // process is a *result.Error.
 type Client struct {
-	http *http.Client
-	keys Keys
+	http     *http.Client
+	keys     Keys
+	versions Versions
+	self     string
 }
 
 // NewClient returns a client that signs with the first key.
@@ -143,10 +146,12 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	c.keys.Sign(req)
+	c.announce(req)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, errors.Wrap(err, "peer")
 	}
+	c.observe(addr, resp.Header)
 	if resp.StatusCode == http.StatusOK {
 		return resp, nil
 	}
@@ -154,6 +159,13 @@
 	return nil, decodeRefusal(resp)
 }
 
+// NotSent reports whether a transport failure happened before any of the
+// message left: no connection could be opened.
+func NotSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 // decodeRefusal returns the numbered error of a refused message. An answer
 // without one says nothing of whether the work ran.
 func decodeRefusal(resp *http.Response) error {
--- a/peer/message.go
+++ b/peer/message.go
@@ -36,6 +36,10 @@
 	Slots int `json:"slots"`
 	// CadenceMicros is the recent median time between tokens or of a call.
 	CadenceMicros int64 `json:"cadence_us"`
+	// WaitMicros and ShortWaitMicros are the waits that the agent expects for
+	// new long and short work.
+	WaitMicros      int64 `json:"wait_us,omitempty"`
+	ShortWaitMicros int64 `json:"short_wait_us,omitempty"`
 }
 
 // State is what an agent tells other processes of itself.
@@ -152,6 +156,9 @@
 	// Incarnation is the agent process that the work was sent to. Another one
 	// knows nothing of it.
 	Incarnation string `json:"incarnation"`
+	// Cancel also ends a generation that has begun. Calls that have begun are
+	// carried through.
+	Cancel bool `json:"cancel,omitempty"`
 }
 
 // Revoked answers Revoke. If Began is false the work has not started and,
