--- a/peer/message.go
+++ b/peer/message.go
@@ -6,6 +6,7 @@
 import (
 	"strings"
 
+	"github.com/quetzalglade/quetzalglade/quarantine"
 	"github.com/quetzalglade/quetzalglade/result"
 )
 
@@ -53,9 +54,11 @@
 	// Ready is false while the target does not answer.
 	Ready bool `json:"ready"`
 	// Models are the loaded models and adapters, "model" or "model+adapter".
-	Models        []string `json:"models,omitempty"`
-	ConfigVersion int64    `json:"config_version"`
-	Load          Load     `json:"load"`
+	Models []string `json:"models,omitempty"`
+	// Marks are the contents that stopped engines, as the agent knows them.
+	Marks         []quarantine.Mark `json:"marks,omitempty"`
+	ConfigVersion int64             `json:"config_version"`
+	Load          Load              `json:"load"`
 	// UptimeMillis is the age of the agent process.
 	UptimeMillis int64 `json:"uptime_ms,omitempty"`
 	// UsableTargets is the number of targets that an entry may send work to.
@@ -89,6 +92,8 @@
 	TimeoutMillis int64  `json:"timeout_ms"`
 	Fingerprint   string `json:"fingerprint"`
 	ConfigVersion int64  `json:"config_version"`
+	// Mark is what the sender holds against the content.
+	Mark *quarantine.Mark `json:"mark,omitempty"`
 }
 
 // Frame is one line of a generation's stream. Exactly one of Tokens, End and
