Quarantine a request after the second engine that it stops

Cause: a request that stops its engine was retried at the next target and sent again by its caller; every engine of the service died.

Change: the agent counts an engine's death (no answer, or a restarted engine) once, against everything that it ran; a suspect among them explains it alone. A suspect goes to the one target that every entry picks, one at a time there and alone for up to 2 s, so that its death tells who was at fault. After a lost engine an entry waits 400 ms for the marks before it tries again. A second death is refused as 2005 everywhere; a suspect that completes is cleared.

Ruled out: draining a target until a suspect is alone: generations of unknown length would block the target for minutes. After 2 s others run next to it; if it stops the engine then, only it is blamed. Limit: callers that send one unknown content to several entries in the same moment stop as many engines as ran it before the first death was known.

Red first: with quarantine switched off the same test loses all five engines (the answer was 2003, no target). Green: TestCrashingRequest, with and without a store outage: 2 of 5 engines lost, 10 innocent seeded generations of 2,500 tokens byte-equal, quarantine held after the restart of all entries, list and lift work.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -24,6 +24,7 @@
 	"github.com/quetzalglade/quetzalglade/internal/httpserve"
 	"github.com/quetzalglade/quetzalglade/peer"
 	"github.com/quetzalglade/quetzalglade/platform"
+	"github.com/quetzalglade/quetzalglade/quarantine"
 	"github.com/quetzalglade/quetzalglade/target"
 	"github.com/quetzalglade/quetzalglade/telemetry"
 )
@@ -67,6 +68,8 @@
 	generations *table
 	once        *onceTable
 	started     time.Time
+	solo        *soloGate
+	marks       *quarantine.Keeper
 	state       atomic.Pointer[peer.State]
 	work        sync.WaitGroup
 	// base is the context of work at the target; it outlives requests.
@@ -102,6 +105,8 @@
 		generations: newTable(),
 		once:        newOnceTable(),
 		started:     time.Now(),
+		solo:        newSoloGate(),
+		marks:       quarantine.NewKeeper(opts.Store, opts.Logger, false),
 	}
 	a.base, a.cancel = context.WithCancel(context.Background())
 	client := httpclient.New(httpclient.Options{IdlePerHost: opts.Limits.Slots})
@@ -168,6 +173,9 @@
 	if a.opts.Store != nil {
 		core.Add(a.config)
 	}
+	if a.opts.Store != nil {
+		core.Add(a.marks)
+	}
 	core.Add(httpserve.New("agent peers", a.opts.Listener, a.handler(), a.opts.DrainLimit))
 	coreCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
--- a/agent/control.go
+++ b/agent/control.go
@@ -153,6 +153,7 @@
 		Draining:    c.state.draining,
 		Ready:       c.state.ready,
 		Models:      c.state.models,
+		Marks:       a.marks.Shared(time.Now()),
 		Load: peer.Load{
 			Running: c.state.queue.Running(),
 			Queued:  c.state.queue.Waiting(),
--- a/agent/run.go
+++ b/agent/run.go
@@ -30,7 +30,7 @@
 	ctx, cancel := context.WithTimeout(a.base, time.Duration(attempt.TimeoutMillis)*time.Millisecond)
 	defer cancel()
 	stopWatch := a.watchListeners(ctx, cancel, g, time.Duration(attempt.ResumeMillis)*time.Millisecond)
-	err := a.generate(ctx, g, attempt)
+	err := a.guard(ctx, g, attempt)
 	if err != nil {
 		a.cancelAtEngine(g.id)
 		g.finish(nil, engineFailure(ctx, err).ForGeneration(g.id, g.count()))
@@ -93,7 +93,10 @@
 // numbered error.
 func engineFailure(ctx context.Context, err error) *result.Error {
 	var refused *target.RefusedError
+	var refusal *result.Error
 	switch {
+	case errors.As(err, &refusal):
+		return refusal
 	case ctx.Err() != nil:
 		return result.New(result.DeadlineExceeded, result.RanYes, "the generation's time ran out")
 	case errors.As(err, &refused):
--- a/agent/server.go
+++ b/agent/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/quetzalglade/quetzalglade/decision"
 	"github.com/quetzalglade/quetzalglade/peer"
+	"github.com/quetzalglade/quetzalglade/quarantine"
 	"github.com/quetzalglade/quetzalglade/result"
 	"github.com/quetzalglade/quetzalglade/telemetry"
 )
@@ -104,6 +105,12 @@
 
 // begin queues an attempt and returns its buffer.
 func (a *Agent) begin(attempt *peer.Attempt) (*generation, *result.Error) {
+	if attempt.Mark != nil {
+		a.marks.Merge(*attempt.Mark)
+	}
+	if a.marks.Status(attempt.Fingerprint, time.Now()) == quarantine.Quarantined {
+		return nil, errQuarantined()
+	}
 	g := newGeneration(attempt)
 	if held := a.generations.put(g); held != nil {
 		return nil, result.New(result.AttemptRevoked, result.RanUnknown, "the generation exists")
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -25,6 +25,7 @@
 	"github.com/quetzalglade/quetzalglade/membership"
 	"github.com/quetzalglade/quetzalglade/peer"
 	"github.com/quetzalglade/quetzalglade/platform"
+	"github.com/quetzalglade/quetzalglade/quarantine"
 	"github.com/quetzalglade/quetzalglade/telemetry"
 )
 
@@ -67,6 +68,7 @@
 	// dropped counts frames of another generation or call than expected.
 	dropped  metric.Int64Counter
 	batcher  *claim.Batcher
+	marks    *quarantine.Keeper
 	stopping atomic.Bool
 
 	tokens     metric.Int64Counter
@@ -111,6 +113,7 @@
 		dropped:  metrics.Counter("crossed_replies", "replies of another generation or call that were dropped"),
 		claims:   claim.NewRegistry(opts.Store, batcher, opts.ClaimRetention),
 		batcher:  batcher,
+		marks:    quarantine.NewKeeper(opts.Store, opts.Logger, true),
 		router:   decision.NewRouter(opts.Policy, opts.Datacentre, opts.Region),
 		sent:     map[string]int{},
 	}
@@ -162,6 +165,7 @@
 	core.Add(e.config)
 	core.Add(e.members)
 	core.Add(e.batcher)
+	core.Add(e.marks)
 	front := suture.New("entry callers", suture.Spec{EventHook: e.logEvent, Timeout: e.opts.DrainLimit})
 	front.Add(httpserve.New("entry callers", e.opts.Listener, e.handler(), e.opts.DrainLimit))
 	detached := context.WithoutCancel(ctx)
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -38,7 +38,9 @@
 	meta      *caller.Meta
 	responder caller.Responder
 	tried     map[string]bool
-	attempts  attempts
+	// fingerprint identifies the content.
+	fingerprint string
+	attempts    attempts
 	// seeded is set if a second run can be compared with the first.
 	seeded bool
 }
@@ -86,6 +88,7 @@
 	}
 	meta := &caller.Meta{Request: req.id, Service: ask.Service, Chat: chat}
 	g := &generation{request: req, entry: e, ask: ask, meta: meta, tried: map[string]bool{}}
+	g.fingerprint = fingerprint(req.workspace.Name, req.service.Name, ask.Prompt)
 	switch {
 	case !ask.Stream:
 		g.responder = caller.NewWhole(w, meta)
@@ -116,7 +119,7 @@
 func (g *generation) run(ctx context.Context) *result.Error {
 	var failure *result.Error
 	for range maxAttempts {
-		m, refusal := g.entry.route(g.request, g.work(), g.tried)
+		m, refusal := g.choose()
 		if refusal != nil && failure == nil {
 			return refusal
 		}
@@ -134,6 +137,7 @@
 		}
 		g.tried[m.VM.Name] = true
 		g.recordRetry(m, next)
+		awaitSpread(ctx, next)
 	}
 	return failure.WithRan(g.attempts.verdict())
 }
@@ -145,7 +149,7 @@
 		return next
 	}
 	switch next.Code {
-	case result.ReplayDiverged, result.Cancelled, result.DeadlineExceeded:
+	case result.ReplayDiverged, result.Cancelled, result.DeadlineExceeded, result.Quarantined:
 		return next
 	}
 	if next.Code == result.NoTarget || g.responder.Delivered() > 0 {
@@ -210,7 +214,7 @@
 		Short: g.service.Short, Prompt: g.ask.Prompt, PromptTokens: caller.EstimateTokens(g.ask.Prompt),
 		MaxTokens: g.ask.MaxTokens, Seed: g.ask.Seed,
 		QueueMillis: g.service.QueueMillis, ResumeMillis: g.service.ResumeMillis, TimeoutMillis: g.service.TimeoutMillis,
-		Fingerprint: fingerprint(g.workspace.Name, g.service.Name, g.ask.Prompt), ConfigVersion: g.config.Version,
+		Fingerprint: g.fingerprint, ConfigVersion: g.config.Version, Mark: g.entry.marks.Get(g.fingerprint, time.Now()),
 	}
 }
 
