Hold a death only against what ran, and spread marks before the next try

An entry tried again before it, or the entry that the caller turned to next, had heard of the second death.

Change: after a lost engine the entry asks its agent for the marks and tells the other entries before it goes on. The agent stops sending to an engine whose stream broke until it answers, refuses while it is dead, and holds a death only against attempts that were there before the first break.

Ruled out: a longer fixed wait; it only makes the same fault rarer.

--- a/agent/probe.go
+++ b/agent/probe.go
@@ -32,7 +32,11 @@
 func (p *engineProbe) probe(ctx context.Context) {
 	limit, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	asked := time.Now()
 	models, err := p.agent.engine.Models(limit)
+	if err == nil {
+		p.agent.solo.alive(asked)
+	}
 	p.agent.control.do(func(s *state) {
 		s.ready = err == nil
 		if err == nil {
--- a/agent/run.go
+++ b/agent/run.go
@@ -62,6 +62,7 @@
 			Kind: telemetry.KindResume, Request: attempt.Request, Attempt: attempt.ID, Generation: g.id,
 			Target: a.opts.VM, Choice: "resume at the engine", Reason: "engine_stream_broken",
 		})
+		a.solo.broken()
 		sleep(ctx, engineResumeDelay<<try)
 		err = a.engine.Resume(ctx, g.id, g.count(), each)
 	}
--- a/agent/suspect.go
+++ b/agent/suspect.go
@@ -29,14 +29,19 @@
 	suspect string
 	// until is when other work is let in next to the suspect.
 	until time.Time
-	// blamed holds the attempts that a death was already counted against.
-	blamed  map[string]bool
+	// doubted is when the first stream broke since the engine last answered.
+	// exposed are the attempts that were at the engine then: what comes later
+	// did not reach a live engine, and no death is held against it.
+	doubted time.Time
+	exposed map[string]bool
+	// dead is set from a death until the engine answers.
+	dead    bool
 	deaths  int
 	changed chan struct{}
 }
 
 func newSoloGate() *soloGate {
-	return &soloGate{running: map[string]string{}, blamed: map[string]bool{}, changed: make(chan struct{})}
+	return &soloGate{running: map[string]string{}, exposed: map[string]bool{}, changed: make(chan struct{})}
 }
 
 func (g *soloGate) notify() {
@@ -48,6 +53,11 @@
 func (g *soloGate) enter(ctx context.Context, id, fingerprint string, suspect bool) error {
 	for {
 		g.mu.Lock()
+		if g.dead {
+			g.mu.Unlock()
+			g.leave(id)
+			return errEngineDead()
+		}
 		ready, wait := g.admit(id, suspect, time.Now())
 		if ready {
 			g.running[id] = fingerprint
@@ -73,6 +83,9 @@
 // admit reports whether the attempt may start now, else how long to wait at
 // most before the next try. Callers hold the lock.
 func (g *soloGate) admit(id string, suspect bool, now time.Time) (bool, time.Duration) {
+	if !g.doubted.IsZero() {
+		return false, soloLimit
+	}
 	if !suspect {
 		return g.suspect == "" || !now.Before(g.until), max(g.until.Sub(now), time.Millisecond)
 	}
@@ -94,31 +107,64 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.running, id)
-	delete(g.blamed, id)
+	delete(g.exposed, id)
 	if g.suspect == id {
 		g.suspect = ""
 	}
 	g.notify()
 }
 
-// death returns the fingerprints that a death of the engine concerns and its
-// number. It is counted once for all attempts that it ended.
+// broken notes that a stream of the engine broke. Until the engine answers or
+// is known to be dead nothing more is sent to it.
+func (g *soloGate) broken() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.doubted.IsZero() {
+		return
+	}
+	g.doubted = time.Now()
+	for id := range g.running {
+		g.exposed[id] = true
+	}
+}
+
+// alive notes that the engine answered a question that was sent at asked.
+func (g *soloGate) alive(asked time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.doubted.IsZero() || asked.Before(g.doubted) {
+		return
+	}
+	g.doubted, g.dead = time.Time{}, false
+	g.notify()
+}
+
+// death returns the fingerprints of what the engine ran when it died and the
+// number of the death, 0 if it was counted before.
 func (g *soloGate) death(id string) (fingerprints []string, number int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.blamed[id] {
+	if !g.exposed[id] {
 		return nil, 0
 	}
 	for other, f := range g.running {
-		if !g.blamed[other] {
-			g.blamed[other] = true
+		if g.exposed[other] {
 			fingerprints = append(fingerprints, f)
 		}
 	}
+	g.exposed, g.dead = map[string]bool{}, true
+	if g.doubted.IsZero() {
+		g.doubted = time.Now()
+	}
 	g.deaths++
+	g.notify()
 	return fingerprints, g.deaths
 }
 
+func errEngineDead() *result.Error {
+	return result.New(result.NoTarget, result.RanNo, "the engine does not answer").RetryAfter(time.Second)
+}
+
 // errQuarantined refuses a content.
 func errQuarantined() *result.Error {
 	return result.New(result.Quarantined, result.RanNo, "this content stopped several targets")
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -132,12 +132,12 @@
 			return nil
 		}
 		failure = g.conclude(failure, next)
+		g.learn(ctx, m, next)
 		if !mayRetry(ctx, next) || !g.responder.Restart() {
 			break
 		}
 		g.tried[m.VM.Name] = true
 		g.recordRetry(m, next)
-		awaitSpread(ctx, next)
 	}
 	return failure.WithRan(g.attempts.verdict())
 }
--- a/entry/server.go
+++ b/entry/server.go
@@ -27,6 +27,7 @@
 	peers.HandleFunc("GET "+peer.PathState, e.handleState)
 	peers.HandleFunc("GET "+peer.PathDecisions, e.handleDecisions)
 	e.config.Register(peers)
+	peers.HandleFunc("POST "+peer.PathMarks, e.handleMarks)
 	mux.Handle("/peer/", e.opts.Keys.Require(peer.Exchange(e.config, peers)))
 	mux.Handle("GET /metrics", e.metrics.Handler())
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
--- a/entry/suspect.go
+++ b/entry/suspect.go
@@ -2,18 +2,24 @@
 
 import (
 	"context"
+	"encoding/json"
 	"hash/fnv"
+	"net/http"
+	"sync"
 	"time"
 
 	"github.com/quetzalglade/quetzalglade/membership"
+	"github.com/quetzalglade/quetzalglade/platform"
 	"github.com/quetzalglade/quetzalglade/quarantine"
 	"github.com/quetzalglade/quetzalglade/result"
 	"github.com/quetzalglade/quetzalglade/telemetry"
 )
 
-// spreadDelay is how long a request whose engine was lost waits before its next
-// attempt, so that every entry has heard of the death.
-const spreadDelay = 400 * time.Millisecond
+// Bounds of messages about contents that stop engines.
+const (
+	spreadLimit  = time.Second
+	maxMarksBody = 1 << 20
+)
 
 // standing returns what is known of a content, with what the agents said last.
 func (e *Entry) standing(fingerprint string) quarantine.Status {
@@ -65,9 +71,46 @@
 	return h.Sum64()
 }
 
-// awaitSpread waits after a lost engine until its agent's marks have arrived.
-func awaitSpread(ctx context.Context, failure *result.Error) {
-	if failure.Code == result.EngineLost {
-		pause(ctx, spreadDelay)
+// learn asks the agent of a lost engine what it holds against the request and
+// tells the other entries, before anything else is tried: the caller may send
+// the request again through any of them at once.
+func (g *generation) learn(ctx context.Context, m *membership.Member, failure *result.Error) {
+	if failure.Code != result.EngineLost {
+		return
+	}
+	limit, cancel := context.WithTimeout(ctx, spreadLimit)
+	defer cancel()
+	if st, err := g.entry.peers.State(limit, m.VM.Addr); err == nil {
+		g.entry.marks.Merge(st.Marks...)
+	}
+	if mark := g.entry.marks.Get(g.fingerprint, time.Now()); mark != nil {
+		g.entry.tellEntries(limit, *mark)
+	}
+}
+
+// tellEntries sends a mark to every other entry on the VM list and waits for
+// the answers.
+func (e *Entry) tellEntries(ctx context.Context, mark quarantine.Mark) {
+	var told sync.WaitGroup
+	for _, vm := range e.members.VMs() {
+		if vm.Role != platform.RoleEntry || vm.Name == e.opts.VM {
+			continue
+		}
+		told.Go(func() {
+			if err := e.peers.Marks(ctx, vm.Addr, []quarantine.Mark{mark}); err != nil {
+				telemetry.Warn(e.opts.Logger, "mark not delivered", "to", vm.Name, "err", err)
+			}
+		})
+	}
+	told.Wait()
+}
+
+func (e *Entry) handleMarks(w http.ResponseWriter, r *http.Request) {
+	var marks []quarantine.Mark
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxMarksBody)).Decode(&marks); err != nil {
+		result.Write(w, result.New(result.InvalidRequest, result.RanNo, "malformed message"))
+		return
 	}
+	e.marks.Merge(marks...)
+	w.WriteHeader(http.StatusOK)
 }
--- a/peer/message.go
+++ b/peer/message.go
@@ -15,6 +15,7 @@
 	PathAttempts    = "/peer/v1/attempts"
 	PathGenerations = "/peer/v1/generations/"
 	PathCalls       = "/peer/v1/calls"
+	PathMarks       = "/peer/v1/marks"
 	PathOutcome     = "/peer/v1/calls/outcome"
 	PathRevoke      = "/peer/v1/revoke"
 	PathState       = "/peer/v1/state"
--- a/peer/once.go
+++ b/peer/once.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 	"strings"
+
+	"github.com/quetzalglade/quetzalglade/quarantine"
 )
 
 // Once marks a call that may run at most once. The agent process that the call
@@ -65,6 +67,11 @@
 	return out, err
 }
 
+// Marks tells an entry of contents that stopped engines.
+func (c *Client) Marks(ctx context.Context, addr string, marks []quarantine.Mark) error {
+	return c.exchange(ctx, http.MethodPost, addr, PathMarks, marks, nil)
+}
+
 // issuedPrefix starts every issued key.
 const issuedPrefix = "qk1" + idSeparator
 
--- a/quarantine/mark_test.go
+++ b/quarantine/mark_test.go
@@ -20,8 +20,8 @@
 		{"an old death", Mark{Deaths: map[string]int64{"a": ago(SuspectLife + time.Second)}}, Clear},
 		{"two deaths", Mark{Deaths: map[string]int64{"a": ago(time.Hour), "b": ago(time.Minute)}}, Quarantined},
 		{"an expired quarantine", Mark{Deaths: map[string]int64{"a": ago(Life + time.Hour), "b": ago(Life + time.Second)}}, Clear},
-		{"lifted", Mark{Deaths: map[string]int64{"a": ago(3*time.Second), "b": ago(2*time.Second)}, LiftedMillis: ago(time.Second)}, Clear},
-		{"a death after the lifting", Mark{Deaths: map[string]int64{"a": ago(3*time.Second), "b": ago(time.Second)}, LiftedMillis: ago(2*time.Second)}, Suspect},
+		{"lifted", Mark{Deaths: map[string]int64{"a": ago(3 * time.Second), "b": ago(2 * time.Second)}, LiftedMillis: ago(time.Second)}, Clear},
+		{"a death after the lifting", Mark{Deaths: map[string]int64{"a": ago(3 * time.Second), "b": ago(time.Second)}, LiftedMillis: ago(2 * time.Second)}, Suspect},
 	}
 	for _, c := range cases {
 		if got := c.mark.Status(now); got != c.want {
