Bind requests late: reserve at a few agents, the first grant runs

Cause: immediate dispatch acts on reports up to half a second old. The entry reserves at up to three agents in turn, own region first, the other region only after the time of a crossing; the first grant gets the attempt under the reservation's id, the others are withdrawn, and an agent drops room that nobody comes for. The router is immutable now: control builds a picture of the targets, traffic reads it and atomic counters. Agents pass on the engine's own report (least_outstanding had used the exact one) and the measured cadence.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -61,6 +61,7 @@
 	metrics     *telemetry.Metrics
 	config      *configsync.Follower
 	control     *control
+	cadence     cadence
 	generations *table
 	state       atomic.Pointer[peer.State]
 	work        sync.WaitGroup
--- a/agent/call.go
+++ b/agent/call.go
@@ -70,6 +70,7 @@
 	ctx, cancel := context.WithTimeout(a.base, time.Duration(call.TimeoutMillis)*time.Millisecond)
 	defer cancel()
 	got, err := a.plain.Do(ctx, target.PlainCall{Method: call.Method, Path: call.Path, Header: call.Header, Body: call.Body})
+	a.cadence.add(time.Since(started))
 	out := &peer.Reply{ID: call.ID}
 	if err != nil {
 		out.Error = callFailure(err)
--- a/agent/control.go
+++ b/agent/control.go
@@ -9,6 +9,7 @@
 	"github.com/quetzalglade/quetzalglade/decision"
 	"github.com/quetzalglade/quetzalglade/peer"
 	"github.com/quetzalglade/quetzalglade/result"
+	"github.com/quetzalglade/quetzalglade/target"
 	"github.com/quetzalglade/quetzalglade/telemetry"
 )
 
@@ -20,6 +21,8 @@
 	draining bool
 	ready    bool
 	models   []string
+	// report is the engine's own, lagging account.
+	report target.LoadReport
 }
 
 // retirement remembers ended and revoked work, to recognise late messages.
@@ -38,6 +41,9 @@
 	// refuse is called once if the work will never start.
 	refuse func(*result.Error)
 	began  bool
+	// reserved is set while the job only keeps room, granted once it has it.
+	reserved bool
+	granted  bool
 }
 
 // control is the goroutine that owns the state. Others send it functions.
@@ -132,7 +138,8 @@
 	}
 	for _, it := range c.state.queue.Admit(now) {
 		j := c.state.jobs[it.ID]
-		j.began = true
+		j.began = !j.reserved
+		j.granted = true
 		c.agent.recorder.Record(telemetry.Decision{
 			Kind: telemetry.KindAdmit, Request: j.request, Attempt: it.ID, Workspace: it.Workspace, Service: it.Service,
 			Target: c.agent.opts.VM, Choice: "start", Reason: "capacity",
@@ -157,6 +164,10 @@
 			Running: c.state.queue.Running(),
 			Queued:  c.state.queue.Waiting(),
 			Slots:   c.state.queue.Slots(),
+
+			EngineRunning: c.state.report.Running,
+			EngineWaiting: c.state.report.Waiting,
+			CadenceMicros: a.cadence.value().Microseconds(),
 		},
 	}
 	if cfg := a.configuration(); cfg != nil {
@@ -179,6 +190,9 @@
 }
 
 func (s *state) offer(j *job, now time.Time) *result.Error {
+	if s.takeOver(j) {
+		return nil
+	}
 	if _, ok := s.retired[j.item.ID]; ok {
 		return result.New(result.AttemptRevoked, result.RanNo, "the attempt has ended or was withdrawn")
 	}
--- a/agent/generation.go
+++ b/agent/generation.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/quetzalglade/quetzalglade/peer"
 	"github.com/quetzalglade/quetzalglade/result"
@@ -15,6 +16,9 @@
 	attempt   string
 	workspace string
 
+	// lastToken is when the newest token arrived; only the runner uses it.
+	lastToken time.Time
+
 	mu        sync.Mutex
 	admitted  bool
 	tokens    []string
--- a/agent/run.go
+++ b/agent/run.go
@@ -72,6 +72,7 @@
 		if !g.add(c.Offset, c.Text) {
 			return errTokenGap
 		}
+		a.cadence.token(g, time.Now())
 		return nil
 	}
 	if n := g.count(); c.CompletionTokens != n {
--- a/agent/server.go
+++ b/agent/server.go
@@ -30,6 +30,7 @@
 	peers.HandleFunc("GET "+peer.PathGenerations+"{id}", a.handleResume)
 	peers.HandleFunc("DELETE "+peer.PathGenerations+"{id}", a.handleCancel)
 	peers.HandleFunc("POST "+peer.PathCalls, a.handleCall)
+	peers.HandleFunc("POST "+peer.PathReservations, a.handleReserve)
 	peers.HandleFunc("POST "+peer.PathRevoke, a.handleRevoke)
 	peers.HandleFunc("GET "+peer.PathState, a.handleState)
 	peers.HandleFunc("GET "+peer.PathDecisions, a.handleDecisions)
@@ -167,6 +168,10 @@
 	for {
 		frame, last := g.read(from)
 		fresh := len(frame.Tokens) > 0 || last || frame.Admitted != admitted
+		if last || frame.Admitted != admitted {
+			load := a.State().Load
+			frame.Load = &load
+		}
 		if fresh && !send(rc, enc, &frame) {
 			return
 		}
--- a/decision/route.go
+++ b/decision/route.go
@@ -1,8 +1,3 @@
-// Package decision holds the policies of quetzalglade: routing, admission,
-// queueing, limits, retries and placement. It does no I/O, reads no clock,
-// starts no goroutine, logs nothing and has no source of randomness of its
-// own: time and random numbers are arguments, so that any bench can drive it.
-// Its values are not safe for concurrent use; each has one owner.
 package decision
 
 import (
@@ -10,14 +5,6 @@
 	"time"
 )
 
-// Random yields uniform numbers; *rand.Rand of math/rand/v2 implements it.
-type Random interface {
-	// IntN returns a number in [0, n).
-	IntN(n int) int
-	// Float64 returns a number in [0, 1).
-	Float64() float64
-}
-
 // Policy selects how a target is chosen.
 type Policy string
 
@@ -27,15 +14,26 @@
 	PolicyLeastOutstanding Policy = "least_outstanding"
 	PolicyTwoChoices       Policy = "two_choices"
 	PolicyLeastWork        Policy = "least_work"
+	PolicyLateBinding      Policy = "late_binding"
 )
 
+// Policies returns all routing policies.
+func Policies() []Policy {
+	return []Policy{PolicyRoundRobin, PolicyLeastOutstanding, PolicyTwoChoices, PolicyLeastWork, PolicyLateBinding}
+}
+
 // Work is a request as the router sees it. No length of its answer is known.
 type Work struct {
 	Workspace    string
 	Service      string
 	Model        string
 	PromptTokens int
+	MaxTokens    int
 	Priority     int
+	// Short marks work whose answers are short.
+	Short bool
+	// Idempotent marks work that may be repeated.
+	Idempotent bool
 	// PrefixHash identifies the start of the prompt, for cache affinity.
 	PrefixHash uint64
 }
@@ -45,17 +43,22 @@
 	VM         string
 	Datacentre string
 	Region     string
-	Running    int
-	Queued     int
+	// Running and Queued are the agent's exact account when it reported.
+	Running int
+	Queued  int
 	// Sent counts the requests that this router sent since the report.
 	Sent        int
 	Slots       int
 	UsedTokens  int
 	TotalTokens int
+	// Reported is the number of requests in the engine's own, lagging report.
+	Reported int
 	// Cadence is the target's recent time between tokens, 0 if unknown.
 	Cadence time.Duration
 	// Age is the time since the report.
 	Age time.Duration
+	// Slow marks a target that is much slower than its peers.
+	Slow bool
 }
 
 // Choice is an ordered list of targets to try, with the reason.
@@ -66,12 +69,12 @@
 	Reason string
 }
 
-// Router chooses targets. Its owner serialises calls.
+// Router chooses targets for a process in a data centre. It is immutable and
+// may be used from any goroutine.
 type Router struct {
 	policy     Policy
 	datacentre string
 	region     string
-	next       int
 }
 
 // NewRouter returns a router for a process in the given data centre.
@@ -79,14 +82,14 @@
 	return &Router{policy: policy, datacentre: datacentre, region: region}
 }
 
-// Route orders the targets for the work.
-func (r *Router) Route(_ Work, targets []Target, rnd Random) Choice {
+// Policy returns the router's policy.
+func (r *Router) Policy() Policy { return r.policy }
+
+// Route orders the targets for the work. Turn numbers the router's requests.
+func (r *Router) Route(_ Work, targets []Target, turn uint64, rnd Random) Choice {
 	scores := make([]float64, len(targets))
 	for i := range targets {
-		scores[i] = r.score(i, &targets[i], len(targets), rnd)
-	}
-	if r.policy == PolicyRoundRobin {
-		r.next++
+		scores[i] = r.score(i, &targets[i], len(targets), turn, rnd)
 	}
 	if r.policy == PolicyTwoChoices {
 		keepTwo(scores, rnd)
@@ -94,12 +97,12 @@
 	return Choice{Order: ascending(scores), Scores: scores, Reason: string(r.policy)}
 }
 
-func (r *Router) score(i int, t *Target, n int, rnd Random) float64 {
+func (r *Router) score(i int, t *Target, n int, turn uint64, rnd Random) float64 {
 	switch r.policy {
 	case PolicyRoundRobin:
-		return float64((i - r.next%n + n) % n)
+		return float64((uint64(i) + uint64(n) - turn%uint64(n)) % uint64(n))
 	case PolicyLeastOutstanding:
-		return float64(t.Running+t.Queued) + tieBreak*rnd.Float64()
+		return float64(t.Reported) + tieBreak*rnd.Float64()
 	default:
 		return r.distance(t) + work(t) + tieBreak*rnd.Float64()
 	}
@@ -110,6 +113,7 @@
 	otherDatacentreCost = 1.0
 	otherRegionCost     = 16.0
 	queuedWeight        = 2.0
+	slowCost            = 1000.0
 	tieBreak            = 0.01
 	unsampledCost       = 1e6
 )
@@ -125,7 +129,11 @@
 }
 
 func work(t *Target) float64 {
-	return float64(t.Running) + queuedWeight*float64(t.Queued) + float64(t.Sent)
+	score := float64(t.Running) + queuedWeight*float64(t.Queued) + float64(t.Sent)
+	if t.Slow {
+		score += slowCost
+	}
+	return score
 }
 
 func keepTwo(scores []float64, rnd Random) {
--- a/entry/call.go
+++ b/entry/call.go
@@ -151,7 +151,7 @@
 	tried := map[string]bool{}
 	var failure *result.Error
 	for range maxAttempts {
-		m, refusal := c.entry.route(c.request, decision.Work{Workspace: c.workspace.Name, Service: c.service.Name, Priority: c.service.Priority}, tried)
+		m, refusal := c.entry.route(ctx, c.request, decision.Work{Workspace: c.workspace.Name, Service: c.service.Name, Priority: c.service.Priority, Short: true, Idempotent: c.idempotent}, tried)
 		if refusal != nil {
 			if failure != nil {
 				return nil, failure
@@ -173,9 +173,8 @@
 }
 
 func (c *call) attempt(ctx context.Context, m *membership.Member) (*peer.Reply, *result.Error) {
-	defer c.entry.done(m.VM.Name)
 	msg := c.message
-	msg.ID = newID("call-")
+	msg.ID = c.attemptID("call-")
 	msg.Incarnation = m.State.Incarnation
 	limit, cancel := context.WithTimeout(ctx, c.service.QueueLimit()+c.service.Timeout())
 	defer cancel()
@@ -187,6 +186,7 @@
 	case err == nil && reply.Error != nil:
 		return nil, reply.Error
 	case err == nil:
+		c.entry.noteLoad(m.VM.Name, reply.Load)
 		return reply, nil
 	case errors.As(err, &refusal):
 		return nil, refusal
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -43,6 +42,8 @@
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// Policy selects the routing policy, least_work if empty.
 	Policy decision.Policy
+	// Probes bound the reservations of late binding; zero selects the default.
+	Probes decision.ProbeLimits
 	// BalancerGrace is how long a stopping entry still accepts requests, so
 	// that the balancer notices its readiness.
 	BalancerGrace time.Duration
@@ -65,10 +66,10 @@
 	firstToken metric.Float64Histogram
 	duration   metric.Float64Histogram
 
-	routeMu sync.Mutex
-	router  *decision.Router
-	// sent counts the requests in progress by target VM.
-	sent map[string]int
+	router *decision.Router
+	picker *pickerControl
+	// turn numbers the routing decisions.
+	turn atomic.Uint64
 }
 
 // Sizes and periods of an entry.
@@ -99,8 +100,8 @@
 		peers:    peers,
 		claims:   claim.NewRegistry(opts.Store),
 		router:   decision.NewRouter(opts.Policy, opts.Datacentre, opts.Region),
-		sent:     map[string]int{},
 	}
+	e.picker = newPickerControl(e.members)
 	e.registerInstruments()
 	return e, nil
 }
@@ -129,6 +130,9 @@
 	if o.Policy == "" {
 		o.Policy = decision.PolicyLeastWork
 	}
+	if o.Probes == (decision.ProbeLimits{}) {
+		o.Probes = decision.DefaultProbeLimits()
+	}
 	if o.BalancerGrace == 0 {
 		o.BalancerGrace = defaultBalancerGrace
 	}
@@ -145,6 +149,7 @@
 	core := suture.New("entry", suture.Spec{EventHook: e.logEvent, Timeout: e.opts.DrainLimit})
 	core.Add(e.config)
 	core.Add(e.members)
+	core.Add(e.picker)
 	front := suture.New("entry callers", suture.Spec{EventHook: e.logEvent, Timeout: e.opts.DrainLimit})
 	front.Add(httpserve.New("entry callers", e.opts.Listener, e.handler(), e.opts.DrainLimit))
 	detached := context.WithoutCancel(ctx)
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -105,7 +105,7 @@
 func (g *generation) run(ctx context.Context) *result.Error {
 	var failure *result.Error
 	for range maxAttempts {
-		m, refusal := g.entry.route(g.request, g.work(), g.tried)
+		m, refusal := g.entry.route(ctx, g.request, g.work(), g.tried)
 		if refusal != nil {
 			if failure != nil {
 				return failure
@@ -125,7 +125,8 @@
 func (g *generation) work() decision.Work {
 	return decision.Work{
 		Workspace: g.workspace.Name, Service: g.service.Name, Model: g.service.Model,
-		PromptTokens: caller.EstimateTokens(g.ask.Prompt), Priority: g.service.Priority,
+		PromptTokens: caller.EstimateTokens(g.ask.Prompt), MaxTokens: g.ask.MaxTokens, Priority: g.service.Priority,
+		Short: g.service.Short, Idempotent: true,
 	}
 }
 
@@ -142,7 +143,6 @@
 
 // attempt runs one generation at one target.
 func (g *generation) attempt(ctx context.Context, m *membership.Member) *result.Error {
-	defer g.entry.done(m.VM.Name)
 	id := peer.GenerationID(m.VM.Name, m.State.Incarnation, newID(""))
 	g.meta.Generation = id
 	attempt := g.message(id)
@@ -168,7 +168,7 @@
 
 func (g *generation) message(id string) *peer.Attempt {
 	return &peer.Attempt{
-		ID: newID("att-"), Request: g.id, Generation: id, Workspace: g.workspace.Name, Service: g.service.Name,
+		ID: g.attemptID("att-"), Request: g.id, Generation: id, Workspace: g.workspace.Name, Service: g.service.Name,
 		Model: g.service.Model, Adapter: g.service.Adapter, Priority: g.service.Priority, Weight: g.workspace.Weight,
 		Short: g.service.Short, Prompt: g.ask.Prompt, PromptTokens: caller.EstimateTokens(g.ask.Prompt),
 		MaxTokens: g.ask.MaxTokens, Seed: g.ask.Seed,
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -110,6 +110,7 @@
 		if f.Generation != rl.generation {
 			return nil, errCrossed
 		}
+		e.noteLoad(rl.vm, f.Load)
 		if err := e.deliver(rl, &f); err != nil {
 			return nil, err
 		}
--- a/entry/route.go
+++ b/entry/route.go
@@ -1,10 +1,9 @@
 package entry
 
 import (
-	"slices"
+	"context"
 	"time"
 
-	"github.com/quetzalglade/quetzalglade/config"
 	"github.com/quetzalglade/quetzalglade/decision"
 	"github.com/quetzalglade/quetzalglade/membership"
 	"github.com/quetzalglade/quetzalglade/peer"
@@ -15,77 +14,57 @@
 // maxLogged bounds the candidates in a decision record.
 const maxLogged = 8
 
-// route chooses a target for the work among those not in tried.
-func (e *Entry) route(req *request, work decision.Work, tried map[string]bool) (*membership.Member, *result.Error) {
-	started := time.Now()
-	members := e.candidates(req.service, tried, started)
-	if len(members) == 0 {
-		return nil, result.New(result.NoTarget, result.RanNo, "no live target serves this request").RetryAfter(time.Second)
-	}
-	targets := make([]decision.Target, len(members))
-	e.routeMu.Lock()
-	for i, m := range members {
-		targets[i] = e.describe(m, started)
-	}
-	choice := e.router.Route(work, targets, random{})
-	best := members[choice.Order[0]]
-	e.sent[best.VM.Name]++
-	e.routeMu.Unlock()
-	e.recordRoute(req, targets, choice, started)
-	return best, nil
+// routing is one routing decision in progress.
+type routing struct {
+	request    *request
+	work       decision.Work
+	candidates []*pickTarget
+	targets    []decision.Target
+	choice     decision.Choice
+	started    time.Time
 }
 
-// done takes a request out of the account of its target.
-func (e *Entry) done(vm string) {
-	e.routeMu.Lock()
-	defer e.routeMu.Unlock()
-	e.sent[vm]--
-	if e.sent[vm] == 0 {
-		delete(e.sent, vm)
+// route chooses a target for the work among those not in tried. With late
+// binding it returns once a target has granted a reservation, under which the
+// attempt is then sent.
+func (e *Entry) route(ctx context.Context, req *request, work decision.Work, tried map[string]bool) (*membership.Member, *result.Error) {
+	r := &routing{request: req, work: work, started: time.Now()}
+	req.reservation = ""
+	r.candidates = e.picker.current.Load().candidates(req.service, tried, r.started, e.members.DeadAfter())
+	if len(r.candidates) == 0 {
+		return nil, result.New(result.NoTarget, result.RanNo, "no live target serves this request").RetryAfter(retryNoTarget)
 	}
-}
-
-func (e *Entry) candidates(svc *config.Service, tried map[string]bool, now time.Time) []*membership.Member {
-	view := e.members.View()
-	var out []*membership.Member
-	for i := range view.Members {
-		m := &view.Members[i]
-		if tried[m.VM.Name] || !m.Usable(now, e.members.DeadAfter()) || !serves(m, svc) {
-			continue
-		}
-		out = append(out, m)
+	r.targets = make([]decision.Target, len(r.candidates))
+	for i, t := range r.candidates {
+		r.targets[i] = t.describe(r.started)
 	}
-	return out
-}
-
-func serves(m *membership.Member, svc *config.Service) bool {
-	if svc.Kind == config.KindPlain {
-		return m.State.Role == svc.Role
+	r.choice = e.router.Route(work, r.targets, e.turn.Add(1), random{})
+	if e.router.Policy() == decision.PolicyLateBinding {
+		return e.bind(ctx, r)
 	}
-	return slices.Contains(m.State.Models, peer.ModelKey(svc.Model, svc.Adapter))
+	best := r.choice.Order[0]
+	r.candidates[best].account.sent.Add(1)
+	e.recordRoute(r, best)
+	return r.candidates[best].member, nil
 }
 
-func (e *Entry) describe(m *membership.Member, now time.Time) decision.Target {
-	l := &m.State.Load
-	return decision.Target{
-		VM: m.VM.Name, Datacentre: m.State.Datacentre, Region: m.State.Region,
-		Running: l.Running, Queued: l.Queued, Sent: e.sent[m.VM.Name], Slots: l.Slots,
-		UsedTokens: l.UsedTokens, TotalTokens: l.TotalTokens,
-		Cadence: time.Duration(l.CadenceMicros) * time.Microsecond,
-		Age:     now.Sub(m.Heard),
+// noteLoad takes in the load that an agent reported on a message.
+func (e *Entry) noteLoad(vm string, load *peer.Load) {
+	if t := e.picker.current.Load().find(vm); t != nil && load != nil {
+		t.account.observe(*load, time.Now())
 	}
 }
 
-func (e *Entry) recordRoute(req *request, targets []decision.Target, choice decision.Choice, started time.Time) {
+func (e *Entry) recordRoute(r *routing, best int) {
 	d := telemetry.Decision{
-		Kind: telemetry.KindRoute, Request: req.id, Workspace: req.workspace.Name, Service: req.service.Name,
-		Target: targets[choice.Order[0]].VM, Choice: targets[choice.Order[0]].VM, Reason: choice.Reason,
-		Version: req.config.Version, TookMicros: time.Since(started).Microseconds(),
+		Kind: telemetry.KindRoute, Request: r.request.id, Workspace: r.request.workspace.Name, Service: r.request.service.Name,
+		Target: r.targets[best].VM, Choice: r.targets[best].VM, Reason: r.choice.Reason,
+		Version: r.request.config.Version, TookMicros: time.Since(r.started).Microseconds(),
 	}
-	for _, i := range choice.Order[:min(len(choice.Order), maxLogged)] {
-		t := &targets[i]
+	for _, i := range r.choice.Order[:min(len(r.choice.Order), maxLogged)] {
+		t := &r.targets[i]
 		d.Candidates = append(d.Candidates, telemetry.Candidate{
-			Target: t.VM, Score: choice.Scores[i], Running: t.Running, Queued: t.Queued, AgeMillis: t.Age.Milliseconds(),
+			Target: t.VM, Score: r.choice.Scores[i], Running: t.Running, Queued: t.Queued, AgeMillis: t.Age.Milliseconds(),
 		})
 	}
 	e.recorder.Record(d)
--- a/entry/server.go
+++ b/entry/server.go
@@ -47,6 +47,17 @@
 	config    *config.Config
 	workspace *config.Workspace
 	service   *config.Service
+	// reservation is the id under which a target keeps room, if any.
+	reservation string
+}
+
+// attemptID returns the id of the next attempt: that of the reservation, if
+// there is one.
+func (req *request) attemptID(prefix string) string {
+	if req.reservation != "" {
+		return req.reservation
+	}
+	return newID(prefix)
 }
 
 const idBytes = 12
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -30,7 +30,7 @@
 		VMList       string        `ini:"vm_list" help:"URL of the platform's list of VMs"`
 	} `ini:"platform"`
 	Routing struct {
-		Policy string `ini:"policy" help:"round_robin, least_outstanding, two_choices or least_work"`
+		Policy string `ini:"policy" help:"round_robin, least_outstanding, two_choices, least_work or late_binding"`
 	} `ini:"routing"`
 }
 
--- a/peer/message.go
+++ b/peer/message.go
@@ -33,6 +33,9 @@
 	TotalTokens int `json:"total_tokens"`
 	// Slots is the concurrency that the agent allows now.
 	Slots int `json:"slots"`
+	// EngineRunning and EngineWaiting are the engine's own account, which lags.
+	EngineRunning int `json:"engine_running,omitempty"`
+	EngineWaiting int `json:"engine_waiting,omitempty"`
 	// CadenceMicros is the recent median time between tokens or of a call.
 	CadenceMicros int64 `json:"cadence_us"`
 }
