--- a/decision/route.go
+++ b/decision/route.go
@@ -57,8 +57,10 @@
 	Cadence time.Duration
 	// Age is the time since the report.
 	Age time.Duration
-	// Slow marks a target that is much slower than its peers.
-	Slow bool
+	// Slow marks a target that is much slower than its peers, Probe one that
+	// this work is to probe.
+	Slow  bool
+	Probe bool
 }
 
 // Choice is an ordered list of targets to try, with the reason.
@@ -130,7 +132,10 @@
 
 func work(t *Target) float64 {
 	score := float64(t.Running) + queuedWeight*float64(t.Queued) + float64(t.Sent)
-	if t.Slow {
+	switch {
+	case t.Probe:
+		return -slowCost
+	case t.Slow:
 		score += slowCost
 	}
 	return score
--- a/entry/call.go
+++ b/entry/call.go
@@ -4,18 +4,16 @@
 	"context"
 	"net/http"
 	"slices"
-	"time"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/quetzalglade/quetzalglade/caller"
-	"github.com/quetzalglade/quetzalglade/claim"
 	"github.com/quetzalglade/quetzalglade/config"
 	"github.com/quetzalglade/quetzalglade/decision"
 	"github.com/quetzalglade/quetzalglade/membership"
 	"github.com/quetzalglade/quetzalglade/peer"
 	"github.com/quetzalglade/quetzalglade/result"
-	"github.com/quetzalglade/quetzalglade/telemetry"
 )
 
 // call is a caller's call to a plain service in progress.
@@ -26,9 +24,6 @@
 	idempotent bool
 }
 
-// settleTimeout bounds the write of an outcome after the call.
-const settleTimeout = 5 * time.Second
-
 func (e *Entry) handleCall(w http.ResponseWriter, r *http.Request) {
 	req, refusal := e.authenticate(r)
 	if refusal != nil {
@@ -78,8 +73,11 @@
 	return c.runOnce(r.Context(), key)
 }
 
+// servicePath returns path and query below the service's root, escaped as the
+// caller sent them.
 func servicePath(r *http.Request) string {
-	path := "/" + r.PathValue("path")
+	_, path, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/s/"), "/")
+	path = "/" + path
 	if r.URL.RawQuery != "" {
 		path += "?" + r.URL.RawQuery
 	}
@@ -97,84 +95,42 @@
 	return h
 }
 
-// runOnce claims the caller's key, then makes the call. Without a claim
-// nothing is dispatched.
-func (c *call) runOnce(ctx context.Context, key string) (*peer.Reply, *result.Error) {
-	held, err := c.entry.claims.Acquire(ctx, claim.Key{
-		Workspace: c.workspace.Name, Service: c.service.Name, Value: key,
-		Fingerprint: fingerprint(c.message.Method, c.message.Path, string(c.message.Body)),
-	}, time.Now())
-	if err != nil {
-		return nil, result.New(result.StoreUnavailable, result.RanNo, "the claim could not be written").RetryAfter(retryNoTarget)
-	}
-	c.recordClaim(held)
-	switch held.Status {
-	case claim.Settled:
-		return &peer.Reply{Status: held.Outcome.Status, Header: held.Outcome.Header, Body: held.Outcome.Body}, nil
-	case claim.Held:
-		return nil, result.New(result.OutcomeUnknown, result.RanUnknown, "a call with this key is in progress or its outcome is unknown").RetryAfter(retryNoTarget)
-	case claim.Mismatch:
-		return nil, result.New(result.KeyReused, result.RanNo, "the key was used with other content")
-	}
-	// The claim is held: from here on the caller's departure changes nothing.
-	reply, failure := c.run(context.WithoutCancel(ctx))
-	c.settle(held, reply, failure)
-	return reply, failure
-}
-
-func (c *call) settle(held *claim.Claim, reply *peer.Reply, failure *result.Error) {
-	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
-	defer cancel()
-	var err error
-	switch {
-	case failure == nil:
-		err = c.entry.claims.Settle(ctx, held, claim.Outcome{Status: reply.Status, Header: reply.Header, Body: reply.Body})
-	case failure.Ran == result.RanNo:
-		err = c.entry.claims.Release(ctx, held)
-	}
-	if err != nil {
-		telemetry.Warn(c.entry.opts.Logger, "claim not settled", "request", c.id, "err", err)
-	}
-}
-
-func (c *call) recordClaim(held *claim.Claim) {
-	names := map[claim.Status]string{claim.Won: "won", claim.Held: "held", claim.Settled: "settled", claim.Mismatch: "mismatch"}
-	c.entry.recorder.Record(telemetry.Decision{
-		Kind: telemetry.KindClaim, Request: c.id, Workspace: c.workspace.Name, Service: c.service.Name,
-		Choice: "claim", Reason: names[held.Status], Version: c.config.Version,
-	})
-}
-
 // run tries targets. A call that may have begun is repeated only if it is
 // idempotent.
 func (c *call) run(ctx context.Context) (*peer.Reply, *result.Error) {
 	tried := map[string]bool{}
+	var known attempts
 	var failure *result.Error
 	for range maxAttempts {
-		m, refusal := c.entry.route(ctx, c.request, decision.Work{Workspace: c.workspace.Name, Service: c.service.Name, Priority: c.service.Priority, Short: true, Idempotent: c.idempotent}, tried)
+		m, refusal := c.entry.routeBound(ctx, c.request, decision.Work{Workspace: c.workspace.Name, Service: c.service.Name, Priority: c.service.Priority, Short: true, Idempotent: c.idempotent}, tried)
 		if refusal != nil {
-			if failure != nil {
-				return nil, failure
+			if failure == nil {
+				return nil, refusal
 			}
-			return nil, refusal
+			break
 		}
 		var reply *peer.Reply
-		reply, failure = c.attempt(ctx, m)
+		if c.idempotent {
+			reply, failure = c.hedged(ctx, m, tried)
+		} else {
+			reply, failure = c.attempt(ctx, m, c.attemptID("call-"))
+		}
 		if failure == nil {
 			return reply, nil
 		}
-		if ctx.Err() != nil || (!c.idempotent && failure.Ran != result.RanNo) {
-			return nil, failure
+		known.note(failure.Ran)
+		if ctx.Err() != nil || (!c.idempotent && failure.Ran != result.RanNo) || !c.entry.limits.mayRetry() {
+			break
 		}
 		tried[m.VM.Name] = true
 		c.entry.recordRetry(c.request, m, failure)
 	}
-	return nil, failure
+	return nil, failure.WithRan(known.verdict())
 }
 
-func (c *call) attempt(ctx context.Context, m *membership.Member) (*peer.Reply, *result.Error) {
+func (c *call) attempt(ctx context.Context, m *membership.Member, id string) (*peer.Reply, *result.Error) {
 	msg := c.message
-	msg.ID = c.attemptID("call-")
+	msg.ID = id
 	msg.Incarnation = m.State.Incarnation
 	limit, cancel := context.WithTimeout(ctx, c.service.QueueLimit()+c.service.Timeout())
 	defer cancel()
@@ -182,7 +138,7 @@
 	var refusal *result.Error
 	switch {
 	case err == nil && reply.ID != msg.ID:
-		return nil, result.New(result.OutcomeUnknown, result.RanUnknown, "the reply belongs to another call")
+		c.entry.dropped.Add(ctx, 1)
 	case err == nil && reply.Error != nil:
 		return nil, reply.Error
 	case err == nil:
@@ -190,16 +146,16 @@
 		return reply, nil
 	case errors.As(err, &refusal):
 		return nil, refusal
+	case peer.NotSent(err):
+		return nil, result.New(result.NoTarget, result.RanNo, "the target does not accept connections").RetryAfter(retryNoTarget)
 	}
 	return nil, c.afterBreak(m, &msg)
 }
 
 // afterBreak asks the agent whether a call whose reply was lost had begun.
 func (c *call) afterBreak(m *membership.Member, msg *peer.Call) *result.Error {
-	ctx, cancel := context.WithTimeout(context.Background(), revokeTimeout)
-	defer cancel()
-	revoked, err := c.entry.peers.Revoke(ctx, m.VM.Addr, peer.Revoke{ID: msg.ID, Incarnation: msg.Incarnation})
-	if err == nil && revoked.ID == msg.ID && !revoked.Began {
+	ran := <-c.entry.withdraw(m, peer.Revoke{ID: msg.ID, Incarnation: msg.Incarnation})
+	if ran == result.RanNo {
 		return result.New(result.AttemptRevoked, result.RanNo, "the call was withdrawn before it began")
 	}
 	return result.New(result.OutcomeUnknown, result.RanUnknown, "the target did not answer")
--- a/entry/picker.go
+++ b/entry/picker.go
@@ -10,17 +10,18 @@
 	"github.com/quetzalglade/quetzalglade/decision"
 	"github.com/quetzalglade/quetzalglade/membership"
 	"github.com/quetzalglade/quetzalglade/peer"
+	"github.com/quetzalglade/quetzalglade/telemetry"
 )
 
-// pickerPeriod is how often the router's control looks for a new picture of
-// the targets.
-const pickerPeriod = 20 * time.Millisecond
+// pickerPeriod is how often the router's control makes a new picture of the
+// targets.
+const pickerPeriod = 50 * time.Millisecond
 
-// picker is an immutable picture of the targets. Traffic goroutines read it
-// and the accounts' atomic counters, nothing else.
+// picker is an immutable picture of the targets. Traffic goroutines read it,
+// the members' view and the accounts' atomic counters, nothing else.
 type picker struct {
-	view    *membership.View
 	targets []pickTarget
+	byVM    map[string]*pickTarget
 }
 
 // pickTarget is one target of a picture.
@@ -28,6 +29,9 @@
 	member  *membership.Member
 	account *account
 	slow    bool
+	// probe is set while a slow target is due for a probe; the request that
+	// clears it goes there.
+	probe *atomic.Bool
 }
 
 // account is what this entry knows of one target beyond its heartbeats. It
@@ -76,18 +80,32 @@
 	}
 }
 
-// candidates returns the targets that may get the service's work now.
-func (p *picker) candidates(svc *config.Service, tried map[string]bool, now time.Time, deadAfter time.Duration) []*pickTarget {
+// candidates returns the targets of a view that may get the service's work now.
+// The view may be newer than the picture.
+func (p *picker) candidates(view *membership.View, svc *config.Service, tried map[string]bool, now time.Time) []*pickTarget {
 	var out []*pickTarget
-	for i := range p.targets {
-		t := &p.targets[i]
-		if !tried[t.member.VM.Name] && t.member.Usable(now, deadAfter) && serves(t.member, svc) {
-			out = append(out, t)
+	for i := range view.Members {
+		m := &view.Members[i]
+		if !tried[m.VM.Name] && m.Usable(now) && serves(m, svc) {
+			out = append(out, p.target(m))
 		}
 	}
 	return out
 }
 
+// target returns what the picture holds of a member.
+func (p *picker) target(m *membership.Member) *pickTarget {
+	known := p.find(m.VM.Name)
+	if known == nil {
+		t := &pickTarget{member: m, account: newAccount()}
+		t.account.observe(m.State.Load, m.Heard)
+		return t
+	}
+	t := *known
+	t.member = m
+	return &t
+}
+
 func serves(m *membership.Member, svc *config.Service) bool {
 	if svc.Kind == config.KindPlain {
 		return m.State.Role == svc.Role
@@ -97,24 +115,24 @@
 
 // find returns the target of the given name, or nil.
 func (p *picker) find(vm string) *pickTarget {
-	for i := range p.targets {
-		if p.targets[i].member.VM.Name == vm {
-			return &p.targets[i]
-		}
-	}
-	return nil
+	return p.byVM[vm]
 }
 
 // pickerControl is the goroutine that owns the router's control state: it
-// builds a picture from each view of the members.
+// builds pictures from the view of the members and the accounts.
 type pickerControl struct {
 	members  *membership.Tracker
 	accounts map[string]*account
-	current  atomic.Pointer[picker]
+	// detectors find slow targets among those of one role.
+	detectors map[string]*decision.SlowDetector
+	recorder  *telemetry.Recorder
+	current   atomic.Pointer[picker]
 }
 
-func newPickerControl(members *membership.Tracker) *pickerControl {
-	c := &pickerControl{members: members, accounts: map[string]*account{}}
+func newPickerControl(members *membership.Tracker, recorder *telemetry.Recorder) *pickerControl {
+	c := &pickerControl{
+		members: members, accounts: map[string]*account{}, detectors: map[string]*decision.SlowDetector{}, recorder: recorder,
+	}
 	c.current.Store(&picker{})
 	return c
 }
@@ -124,9 +142,7 @@
 	tick := time.NewTicker(pickerPeriod)
 	defer tick.Stop()
 	for {
-		if view := c.members.View(); view != c.current.Load().view {
-			c.build(view)
-		}
+		c.build(c.members.View(), time.Now())
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -135,8 +151,8 @@
 	}
 }
 
-func (c *pickerControl) build(view *membership.View) {
-	p := &picker{view: view, targets: make([]pickTarget, len(view.Members))}
+func (c *pickerControl) build(view *membership.View, now time.Time) {
+	p := &picker{targets: make([]pickTarget, len(view.Members)), byVM: make(map[string]*pickTarget, len(view.Members))}
 	known := make(map[string]*account, len(view.Members))
 	for i := range view.Members {
 		m := &view.Members[i]
@@ -147,7 +163,9 @@
 		known[m.VM.Name] = a
 		a.observe(m.State.Load, m.Heard)
 		p.targets[i] = pickTarget{member: m, account: a}
+		p.byVM[m.VM.Name] = &p.targets[i]
 	}
 	c.accounts = known
+	c.markSlow(p, now)
 	c.current.Store(p)
 }
--- a/entry/route.go
+++ b/entry/route.go
@@ -24,13 +24,41 @@
 	started    time.Time
 }
 
-// route chooses a target for the work among those not in tried. With late
-// binding it returns once a target has granted a reservation, under which the
-// attempt is then sent.
-func (e *Entry) route(ctx context.Context, req *request, work decision.Work, tried map[string]bool) (*membership.Member, *result.Error) {
-	r := &routing{request: req, work: work, started: time.Now()}
+// route chooses a target for the work among those not in tried.
+func (e *Entry) route(req *request, work decision.Work, tried map[string]bool) (*membership.Member, *result.Error) {
+	r, refusal := e.order(req, work, tried)
+	if refusal != nil {
+		return nil, refusal
+	}
+	best := r.choice.Order[0]
+	r.candidates[best].account.sent.Add(1)
+	e.recordRoute(r, best)
+	return r.candidates[best].member, nil
+}
+
+// routeBound chooses like route. With late binding it returns once a target has
+// granted a reservation, under whose id the attempt is then to be sent.
+func (e *Entry) routeBound(ctx context.Context, req *request, work decision.Work, tried map[string]bool) (*membership.Member, *result.Error) {
 	req.reservation = ""
-	r.candidates = e.picker.current.Load().candidates(req.service, tried, r.started, e.members.DeadAfter())
+	if e.router.Policy() != decision.PolicyLateBinding {
+		return e.route(req, work, tried)
+	}
+	r, refusal := e.order(req, work, tried)
+	if refusal != nil {
+		return nil, refusal
+	}
+	return e.bind(ctx, r)
+}
+
+// order describes the targets that may get the work and orders them.
+func (e *Entry) order(req *request, work decision.Work, tried map[string]bool) (*routing, *result.Error) {
+	if len(tried) == 0 {
+		if refusal := e.limits.pass(req); refusal != nil {
+			return nil, refusal
+		}
+	}
+	r := &routing{request: req, work: work, started: time.Now()}
+	r.candidates = e.picker.current.Load().candidates(e.members.View(), req.service, tried, r.started)
 	if len(r.candidates) == 0 {
 		return nil, result.New(result.NoTarget, result.RanNo, "no live target serves this request").RetryAfter(retryNoTarget)
 	}
@@ -38,14 +66,9 @@
 	for i, t := range r.candidates {
 		r.targets[i] = t.describe(r.started)
 	}
+	claimProbe(r)
 	r.choice = e.router.Route(work, r.targets, e.turn.Add(1), random{})
-	if e.router.Policy() == decision.PolicyLateBinding {
-		return e.bind(ctx, r)
-	}
-	best := r.choice.Order[0]
-	r.candidates[best].account.sent.Add(1)
-	e.recordRoute(r, best)
-	return r.candidates[best].member, nil
+	return r, nil
 }
 
 // noteLoad takes in the load that an agent reported on a message.
--- a/entry/server.go
+++ b/entry/server.go
@@ -21,15 +21,28 @@
 	mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) { e.handleCompletion(w, r, true) })
 	mux.HandleFunc("GET /v1/generations/{id}", e.handleResume)
 	mux.HandleFunc("DELETE /v1/generations/{id}", e.handleCancel)
+	mux.HandleFunc("POST /v1/keys", e.handleKeys)
 	mux.HandleFunc("/s/{service}/{path...}", e.handleCall)
 	peers := http.NewServeMux()
 	peers.HandleFunc("GET "+peer.PathState, e.handleState)
 	peers.HandleFunc("GET "+peer.PathDecisions, e.handleDecisions)
-	mux.Handle("/peer/", e.opts.Keys.Require(peers))
+	e.config.Register(peers)
+	mux.Handle("/peer/", e.opts.Keys.Require(peer.Exchange(e.config, peers)))
 	mux.Handle("GET /metrics", e.metrics.Handler())
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", e.handleReady)
-	return mux
+	return e.closeWhileStopping(mux)
+}
+
+// closeWhileStopping asks callers of a stopping entry not to reuse their
+// connections, so that no request is sent on one that is about to be closed.
+func (e *Entry) closeWhileStopping(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func (e *Entry) handleReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -198,6 +198,7 @@
 	}
 	opts.VM, opts.Datacentre, opts.Region = vm, p.Datacentre, p.Region
 	opts.Listener, opts.Keys, opts.Store, opts.Logger = l, f.keys, f.store(p), f.opts.Logger
+	opts.DrainGrace = demoGrace
 	f.place(l.Addr().String(), p)
 	if f.opts.AdjustAgent != nil {
 		f.opts.AdjustAgent(&opts)
