--- a/cmd/quetzalglade/load.go
+++ b/cmd/quetzalglade/load.go
@@ -1,8 +1,9 @@
 package main
 
 import (
+	"fmt"
+	"path/filepath"
 	"runtime"
-	"strconv"
 	"strings"
 	"time"
 
@@ -25,7 +26,9 @@
 	seed        uint64
 	policies    []string
 	deployments []string
+	scenarios   []string
 	seeds       int
+	parallel    int
 }
 
 // measuredEngine is the embedded engine of measurements: a batch of sixteen
@@ -47,7 +50,7 @@
 		Example: "  quetzalglade load --deployment pwani --load 0.9 --output run.json\n  quetzalglade load --url http://10.0.0.7:8080 --load 0.5",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			f.deployments, f.policies, f.seeds = []string{f.deployment}, []string{f.policy}, 1
+			f.deployments, f.policies, f.seeds, f.parallel = []string{f.deployment}, []string{f.policy}, 1, 1
 			return f.compare(cmd)
 		},
 	}
@@ -71,7 +74,8 @@
 	}
 	f.common(cmd)
 	cmd.Flags().StringSliceVar(&f.deployments, "deployments", []string{"pedalia", "pwani"}, "deployments to measure")
-	cmd.Flags().StringSliceVar(&f.policies, "policies", []string{"round_robin", "least_outstanding", "two_choices", "least_work"}, "routing policies")
+	cmd.Flags().StringSliceVar(&f.policies, "policies", policies(), "routing policies; -slow, -hedge, -throttle, -retry or -link after a name switches that mechanism off")
+	cmd.Flags().IntVar(&f.parallel, "parallel", 1, "runs at a time")
 	cmd.Flags().IntVar(&f.seeds, "seeds", 3, "number of seeds, counted from --seed")
 	return cmd
 }
@@ -99,22 +103,48 @@
 	fl.IntVar(&o.Engine.Blocks, "engine-blocks", o.Engine.Blocks, "blocks of an engine's memory")
 	fl.IntVar(&o.Engine.MaxBatch, "engine-batch", o.Engine.MaxBatch, "largest batch of an engine")
 	fl.DurationVar(&o.Engine.ReportLag, "engine-report-lag", o.Engine.ReportLag, "age of an engine's load report")
+	fl.StringSliceVar(&f.scenarios, "scenarios", []string{"steady"}, scenarioHelp())
 	fl.Uint64Var(&f.seed, "seed", 1, "first seed")
 	fl.IntVar(&f.procs, "procs", 3, "cores that the measurement may use")
 	fl.StringVar(&f.output, "output", "", "file for the result in JSON")
 	fl.StringVar(&f.report, "report", "", "directory for a readable report with plots")
 }
 
-// variants are the runs to compare for a deployment.
-func (f *loadFlags) variants(name string) ([]load.Options, error) {
-	d, ok := load.ByName(name)
+func policies() []string {
+	var out []string
+	for _, p := range decision.Policies() {
+		out = append(out, string(p))
+	}
+	return out
+}
+
+func scenarioHelp() string {
+	var b strings.Builder
+	for i, s := range load.Scenarios() {
+		if i > 0 {
+			b.WriteString("; ")
+		}
+		b.WriteString(s.Name + ": " + s.Help)
+	}
+	return b.String()
+}
+
+// variants are the runs to compare for a deployment in a scenario.
+func (f *loadFlags) variants(deployment, scenario string) ([]load.Options, error) {
+	d, ok := load.ByName(deployment)
 	if !ok {
-		return nil, errors.Newf("unknown deployment %q", name)
+		return nil, errors.Newf("unknown deployment %q", deployment)
 	}
 	var out []load.Options
-	for _, p := range f.policies {
+	for _, label := range f.policies {
 		o := f.opts
-		o.Deployment, o.Policy, o.Label = d, decision.Policy(p), p
+		o.Deployment = d
+		if err := load.Variant(label, &o); err != nil {
+			return nil, err
+		}
+		if err := load.Apply(scenario, &o); err != nil {
+			return nil, err
+		}
 		out = append(out, o)
 	}
 	return out, nil
@@ -122,22 +152,24 @@
 
 func (f *loadFlags) compare(cmd *cobra.Command) error {
 	runtime.GOMAXPROCS(f.procs)
-	var all []*load.Comparison
 	seeds := make([]uint64, f.seeds)
 	for i := range seeds {
 		seeds[i] = f.seed + uint64(i)
 	}
-	for _, name := range f.deployments {
-		variants, err := f.variants(name)
-		if err != nil {
-			return err
-		}
-		c, err := load.Compare(cmd.Context(), variants, seeds, func(r *load.Run) { load.WriteLine(cmd.ErrOrStderr(), r) })
-		if err != nil {
-			return err
+	var all []*load.Comparison
+	for _, deployment := range f.deployments {
+		for _, scenario := range f.scenarios {
+			variants, err := f.variants(deployment, scenario)
+			if err != nil {
+				return err
+			}
+			c, err := load.Compare(cmd.Context(), scenario, variants, seeds, f.parallel, func(r *load.Run) { load.WriteLine(cmd.ErrOrStderr(), r) })
+			if err != nil {
+				return err
+			}
+			all = append(all, c)
+			_, _ = fmt.Fprintf(cmd.OutOrStdout(), "## %s, %s, %d seeds\n\n%s\n", deployment, scenario, f.seeds, c.Table())
 		}
-		all = append(all, c)
-		cmd.Printf("## %s: %s\n\n%s\n", name, strings.Join(f.policies, ", ")+", "+strconv.Itoa(f.seeds)+" seeds", c.Table())
 	}
 	return f.write(all)
 }
@@ -152,7 +184,7 @@
 		return nil
 	}
 	for _, c := range all {
-		if err := load.WriteReport(f.report+"/"+c.Deployment, c); err != nil {
+		if err := load.WriteReport(filepath.Join(f.report, c.Deployment, c.Scenario), c); err != nil {
 			return err
 		}
 	}
--- a/decision/routing_test.go
+++ b/decision/routing_test.go
@@ -110,8 +110,10 @@
 	paces := func(second int, last time.Duration) []Pace {
 		at := epoch.Add(time.Duration(second) * time.Second)
 		return []Pace{
-			{VM: "a", Cadence: 20 * time.Millisecond, At: at}, {VM: "b", Cadence: 25 * time.Millisecond, At: at},
-			{VM: "c", Cadence: 30 * time.Millisecond, At: at}, {VM: "d", Cadence: last, At: at},
+			{VM: "a", Cadence: 20 * time.Millisecond, At: at},
+			{VM: "b", Cadence: 25 * time.Millisecond, At: at},
+			{VM: "c", Cadence: 30 * time.Millisecond, At: at},
+			{VM: "d", Cadence: last, At: at},
 		}
 	}
 	if slow := d.Update(paces(0, 60*time.Millisecond)); len(slow) != 0 {
@@ -237,3 +239,21 @@
 		t.Fatalf("%d copies", copies)
 	}
 }
+
+func TestLinkBudgetBoundsBytes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const rate, burst, largest = 1000.0, 2000.0, 500
+		l := NewLinkBudget(rate, burst)
+		now, crossed := epoch, 0
+		for _, step := range rapid.SliceOf(rapid.IntRange(1, largest)).Draw(t, "bytes") {
+			now = now.Add(time.Duration(step) * time.Millisecond / 10)
+			if l.Open(now) {
+				l.Spend(now, step)
+				crossed += step
+			}
+		}
+		if limit := burst + rate*now.Sub(epoch).Seconds() + largest; float64(crossed) > limit {
+			t.Fatalf("%d bytes crossed, limit %.0f", crossed, limit)
+		}
+	})
+}
--- a/entry/bind.go
+++ b/entry/bind.go
@@ -45,6 +45,7 @@
 		return nil, b.failure(ctx)
 	}
 	r.request.reservation = b.id
+	e.spendPrompt(r.candidates[best], r.work.PromptTokens)
 	e.recordRoute(r, best)
 	return r.candidates[best].member, nil
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -42,6 +42,8 @@
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// Policy selects the routing policy, least_work if empty.
 	Policy decision.Policy
+	// Off switches mechanisms of routing off, for measurements.
+	Off Mechanisms
 	// Probes bound the reservations of late binding; zero selects the default.
 	Probes decision.ProbeLimits
 	// BalancerGrace is how long a stopping entry still accepts requests, so
@@ -115,8 +117,8 @@
 		batcher:  batcher,
 		router:   decision.NewRouter(opts.Policy, opts.Datacentre, opts.Region),
 	}
-	e.picker = newPickerControl(e.members, e.recorder)
-	e.limits = newLimits()
+	e.picker = newPickerControl(e.members, e.recorder, opts.Off.Slow)
+	e.limits = newLimits(opts.Off)
 	e.registerInstruments()
 	return e, nil
 }
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -66,7 +66,7 @@
 func (c *call) sendSecond(ctx context.Context, first *membership.Member, tried map[string]bool, results chan<- callResult) bool {
 	allowed := false
 	c.entry.limits.hedge(c.service.Name, func(h *decision.Hedger) { allowed = h.Take() })
-	if !allowed {
+	if !allowed || c.entry.limits.off.Hedge {
 		return false
 	}
 	without := maps.Clone(tried)
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -16,8 +16,28 @@
 	retries   *decision.RetryBudget
 	throttles map[throttleKey]*throttle
 	hedgers   map[string]*decision.Hedger
+	link      *decision.LinkBudget
+	off       Mechanisms
 }
 
+// Mechanisms names parts of routing that a measurement switches off.
+type Mechanisms struct {
+	// Slow avoids slow targets, Hedge sends second copies, Throttle refuses at
+	// the entry, RetryBudget bounds retries, Link keeps work at home once the
+	// link's budget is used up.
+	Slow        bool
+	Hedge       bool
+	Throttle    bool
+	RetryBudget bool
+	Link        bool
+}
+
+// The budget of one entry for the link between regions.
+const (
+	linkRate  = 1 << 20
+	linkBurst = 4 << 20
+)
+
 // throttleKey is what a throttle counts for.
 type throttleKey struct {
 	workspace string
@@ -30,8 +50,9 @@
 	retryAfter time.Duration
 }
 
-func newLimits() *limits {
+func newLimits(off Mechanisms) *limits {
 	return &limits{
+		link: decision.NewLinkBudget(linkRate, linkBurst), off: off,
 		retries:   decision.NewRetryBudget(decision.DefaultRetryRatio, decision.DefaultRetryReserve),
 		throttles: map[throttleKey]*throttle{}, hedgers: map[string]*decision.Hedger{},
 	}
@@ -53,7 +74,7 @@
 	defer l.mu.Unlock()
 	l.retries.Request()
 	t := l.throttle(req)
-	if t.Pass(time.Now(), rand.Float64()) {
+	if t.Pass(time.Now(), rand.Float64()) || l.off.Throttle {
 		return nil
 	}
 	return result.New(result.WorkspaceLimited, result.RanNo, "targets refuse this workspace's work").RetryAfter(t.retryAfter)
@@ -77,7 +98,21 @@
 func (l *limits) mayRetry() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.retries.Take()
+	return l.retries.Take() || l.off.RetryBudget
+}
+
+// cross counts bytes that were sent between regions.
+func (l *limits) cross(bytes int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.link.Spend(time.Now(), bytes)
+}
+
+// mayCross reports whether new work may go to another region.
+func (l *limits) mayCross() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.link.Open(time.Now()) || l.off.Link
 }
 
 // hedge runs f on the service's hedger.
--- a/entry/picker.go
+++ b/entry/picker.go
@@ -126,12 +126,14 @@
 	// detectors find slow targets among those of one role.
 	detectors map[string]*decision.SlowDetector
 	recorder  *telemetry.Recorder
-	current   atomic.Pointer[picker]
+	// blind leaves slow targets unmarked.
+	blind   bool
+	current atomic.Pointer[picker]
 }
 
-func newPickerControl(members *membership.Tracker, recorder *telemetry.Recorder) *pickerControl {
+func newPickerControl(members *membership.Tracker, recorder *telemetry.Recorder, blind bool) *pickerControl {
 	c := &pickerControl{
-		members: members, accounts: map[string]*account{}, detectors: map[string]*decision.SlowDetector{}, recorder: recorder,
+		members: members, accounts: map[string]*account{}, detectors: map[string]*decision.SlowDetector{}, recorder: recorder, blind: blind,
 	}
 	c.current.Store(&picker{})
 	return c
@@ -166,6 +168,8 @@
 		p.byVM[m.VM.Name] = &p.targets[i]
 	}
 	c.accounts = known
-	c.markSlow(p, now)
+	if !c.blind {
+		c.markSlow(p, now)
+	}
 	c.current.Store(p)
 }
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -151,7 +151,7 @@
 			e.dropped.Add(ctx, 1)
 			return nil, errCrossed
 		}
-		e.noteLoad(rl.vm, f.Load)
+		e.noteFrame(rl.vm, &f)
 		if err := e.deliver(rl, &f); err != nil {
 			return nil, err
 		}
--- a/entry/route.go
+++ b/entry/route.go
@@ -32,6 +32,7 @@
 	}
 	best := r.choice.Order[0]
 	r.candidates[best].account.sent.Add(1)
+	e.spendPrompt(r.candidates[best], work.PromptTokens)
 	e.recordRoute(r, best)
 	return r.candidates[best].member, nil
 }
@@ -59,6 +60,7 @@
 	}
 	r := &routing{request: req, work: work, started: time.Now()}
 	r.candidates = e.picker.current.Load().candidates(e.members.View(), req.service, tried, r.started)
+	r.candidates = e.stayHome(r.candidates)
 	if len(r.candidates) == 0 {
 		return nil, result.New(result.NoTarget, result.RanNo, "no live target serves this request").RetryAfter(retryNoTarget)
 	}
--- a/internal/load/compare.go
+++ b/internal/load/compare.go
@@ -3,16 +3,19 @@
 import (
 	"context"
 	"sort"
+	"sync"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 )
 
 // Comparison holds the runs of several variants, taken in turn for each seed,
 // so that the machine's noise falls on all of them.
 type Comparison struct {
 	Deployment string `json:"deployment"`
+	Scenario   string `json:"scenario"`
 	Runs       []*Run `json:"runs"`
-	// Spread is the summary of each variant over the seeds.
+	// Summaries is the summary of each variant over the seeds.
 	Summaries []Summary `json:"summaries"`
 }
 
@@ -66,26 +69,33 @@
 	return sum
 }
 
-// Compare carries the variants out in turn for each seed. After each run
-// report is called.
-func Compare(ctx context.Context, variants []Options, seeds []uint64, report func(*Run)) (*Comparison, error) {
+// Compare carries the variants out in turn for each seed, as many at a time as
+// parallel says. After each run report is called.
+func Compare(ctx context.Context, scenario string, variants []Options, seeds []uint64, parallel int, report func(*Run)) (*Comparison, error) {
 	if len(variants) == 0 {
 		return nil, errors.New("nothing to compare")
 	}
-	c := &Comparison{Deployment: variants[0].Deployment.Name}
-	for _, seed := range seeds {
-		for _, v := range variants {
-			v.Seed = seed
+	c := &Comparison{Deployment: variants[0].Deployment.Name, Scenario: scenario, Runs: make([]*Run, len(seeds)*len(variants))}
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(parallel)
+	var mu sync.Mutex
+	for i := range c.Runs {
+		v := variants[i%len(variants)]
+		v.Seed = seeds[i/len(variants)]
+		group.Go(func() error {
 			run, err := Do(ctx, v)
 			if err != nil {
-				return nil, err
+				return err
 			}
-			if ctx.Err() != nil {
-				return nil, ctx.Err()
-			}
-			c.Runs = append(c.Runs, run)
+			mu.Lock()
+			defer mu.Unlock()
+			c.Runs[i] = run
 			report(run)
-		}
+			return ctx.Err()
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
 	}
 	c.summarise()
 	return c, nil
--- a/internal/load/plot.go
+++ b/internal/load/plot.go
@@ -41,7 +41,7 @@
 
 func barPlot(path, figure string, c *Comparison) error {
 	p := plot.New()
-	p.Title.Text = c.Deployment + ": " + figure
+	p.Title.Text = c.Deployment + ", " + c.Scenario + ": " + figure
 	p.Y.Min = 0
 	values := make(plotter.Values, len(c.Summaries))
 	labels := make([]string, len(c.Summaries))
@@ -62,7 +62,7 @@
 // coursePlot shows the tokens delivered by second, for the first seed.
 func coursePlot(path string, c *Comparison) error {
 	p := plot.New()
-	p.Title.Text = c.Deployment + ": tokens delivered by second"
+	p.Title.Text = c.Deployment + ", " + c.Scenario + ": tokens delivered by second"
 	p.Y.Min = 0
 	for i, r := range c.Runs[:len(c.Summaries)] {
 		points := make(plotter.XYs, len(r.Figures.TokensPerSecond))
--- /dev/null
+++ b/internal/load/scenario.go
@@ -0,0 +1,96 @@
+package load
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalglade/quetzalglade/decision"
+	"github.com/quetzalglade/quetzalglade/entry"
+	"github.com/quetzalglade/quetzalglade/internal/demo"
+)
+
+// Scenario changes the options of a run to bring one situation about.
+type Scenario struct {
+	Name  string
+	Help  string
+	apply func(*Options)
+}
+
+// Loads and factors of the scenarios.
+const (
+	slowedLoad    = 0.6
+	slowedShare   = 0.25
+	slowedFactor  = 5
+	crestBase     = 0.7
+	crestFactor   = 2 / crestBase
+	crestAt       = 4 * time.Second
+	crestFor      = 10 * time.Second
+	crestDuration = 24 * time.Second
+	cutLoad       = 0.6
+)
+
+// Scenarios returns all scenarios.
+func Scenarios() []Scenario {
+	return []Scenario{
+		{"steady", "swinging load as given by --load", func(*Options) {}},
+		{"alone", "the short work of steady without the long", func(o *Options) { o.WithoutLong = true }},
+		{"crest", "2 times the capacity for 10 s", func(o *Options) {
+			o.Load = crestBase
+			o.Shape.Crest, o.Shape.CrestAt, o.Shape.CrestFor, o.Shape.Duration = crestFactor, crestAt, crestFor, crestDuration
+		}},
+		{"retry", "the crest with callers that repeat a refused request at once, 5 times", func(o *Options) {
+			o.Load, o.RetryAtOnce = crestBase, 5
+			o.Shape.Crest, o.Shape.CrestAt, o.Shape.CrestFor, o.Shape.Duration = crestFactor, crestAt, crestFor, crestDuration
+		}},
+		{"even", "load 0.6 without disturbance, to compare slow and cut with", func(o *Options) { o.Load = slowedLoad }},
+		{"slow", "load 0.6, a quarter of the targets 5 times slower in the middle third", func(o *Options) {
+			o.Load, o.SlowShare, o.SlowFactor = slowedLoad, slowedShare, slowedFactor
+		}},
+		{"cut", "load 0.6, the regions separated in the middle third", func(o *Options) { o.Load, o.Cut = cutLoad, true }},
+	}
+}
+
+// Apply sets the options of the named scenario.
+func Apply(name string, o *Options) error {
+	for _, s := range Scenarios() {
+		if s.Name == name {
+			s.apply(o)
+			return nil
+		}
+	}
+	return errors.Newf("unknown scenario %q", name)
+}
+
+// Variant sets the options of a policy, which may carry the mechanisms that are
+// switched off: "late_binding-hedge-slow".
+func Variant(label string, o *Options) error {
+	policy, off, _ := strings.Cut(label, "-")
+	o.Label, o.Policy = label, decision.Policy(policy)
+	if !slices.Contains(decision.Policies(), o.Policy) {
+		return errors.Newf("unknown policy %q", policy)
+	}
+	var m entry.Mechanisms
+	for _, name := range strings.FieldsFunc(off, func(r rune) bool { return r == '-' }) {
+		switch name {
+		case "slow":
+			m.Slow = true
+		case "hedge":
+			m.Hedge = true
+		case "throttle":
+			m.Throttle = true
+		case "retry":
+			m.RetryBudget = true
+		case "link":
+			m.Link = true
+		default:
+			return errors.Newf("unknown mechanism %q", name)
+		}
+	}
+	o.Adjust = func(d *demo.Options) {
+		d.AdjustEntry = func(e *entry.Options) { e.Off = m }
+	}
+	return nil
+}
