Do not take a replaced agent's refusal as the first one's word

Cause: a once-only call whose connection broke was sent again; if the agent had been killed and restarted at the same address in between, the new process refused it as replaced, which was read as 'did not run', and the call was made at another target.

Ruled out: a repeat by net/http (a POST is not replayed, TestPlainSendsOnce).

--- a/entry/once.go
+++ b/entry/once.go
@@ -276,7 +276,7 @@
 		case err == nil && reply.ID == msg.ID:
 			return nil, reply.Error
 		case errors.As(err, &refusal):
-			return nil, refusal
+			return nil, afterRepeat(refusal, try)
 		case errors.Is(err, syscall.ECONNREFUSED) && try == 0:
 			return nil, result.New(result.TargetLeaving, result.RanUnknown, "the target does not accept connections")
 		}
@@ -288,6 +288,17 @@
 	return e.lastWord(m, msg)
 }
 
+// afterRepeat corrects the refusal of a message that was sent before. Another
+// process may have answered, for example because the agent was replaced in
+// between; only the process that got the first message can say that the call
+// did not run.
+func afterRepeat(refusal *result.Error, try int) *result.Error {
+	if try == 0 || refusal.Code == result.AttemptRevoked || refusal.Code == result.KeyReused {
+		return refusal
+	}
+	return result.New(result.OutcomeUnknown, result.RanUnknown, "the target was replaced during the call")
+}
+
 // lastWord asks the agent of a call whose reply did not arrive.
 func (e *Entry) lastWord(m *membership.Member, msg *peer.Call) (*peer.Reply, *result.Error) {
 	ctx, cancel := context.WithTimeout(context.Background(), queryLimit)
