--- a/entry/once.go
+++ b/entry/once.go
@@ -277,9 +277,6 @@
 			return reply, nil
 		case err == nil && reply.ID == msg.ID:
 			return nil, reply.Error
-		case errors.As(err, &refusal) && try > 0 && refusal.Code == result.TargetLeaving:
-			// The process that got the first message is gone.
-			return nil, targetGone()
 		case errors.As(err, &refusal):
 			return nil, afterRepeat(refusal, try)
 		case errors.Is(err, syscall.ECONNREFUSED) && try == 0:
