--- a/agent/agent.go
+++ b/agent/agent.go
@@ -63,6 +63,8 @@
 	control     *control
 	generations *table
 	gaps        gapMeter
+	once        *onceTable
+	started     time.Time
 	state       atomic.Pointer[peer.State]
 	work        sync.WaitGroup
 	// base is the context of work at the target; it outlives requests.
@@ -92,6 +94,8 @@
 		recorder:    telemetry.NewRecorder(opts.Logger, metrics, decisionRing),
 		metrics:     metrics,
 		generations: newTable(),
+		once:        newOnceTable(),
+		started:     time.Now(),
 	}
 	a.base, a.cancel = context.WithCancel(context.Background())
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: opts.Limits.Slots}}
@@ -100,9 +104,7 @@
 	} else {
 		a.plain = target.NewPlain(opts.PlainURL, client)
 	}
-	if opts.Store != nil {
-		a.config = configsync.New(configsync.Options{Store: opts.Store, Logger: opts.Logger})
-	}
+	a.config = newFollower(&opts)
 	a.control = newControl(a)
 	a.registerGauges()
 	return a, nil
@@ -126,18 +128,28 @@
 	if o.Logger == nil {
 		o.Logger = log.NewNopLogger()
 	}
-	if o.Limits == (decision.QueueLimits{}) {
-		o.Limits = decision.DefaultQueueLimits()
-	}
-	if o.Limits.Slots <= 0 || o.Limits.Length <= 0 {
-		return errors.New("agent: slots and queue length must be positive")
-	}
+	o.setLimits()
 	if o.DrainLimit == 0 {
 		o.DrainLimit = defaultDrainLimit
 	}
 	return nil
 }
 
+// setLimits selects the default limits, or adds the bounds that are missing
+// from given ones.
+func (o *Options) setLimits() {
+	defaults := decision.DefaultQueueLimits()
+	if o.Limits == (decision.QueueLimits{}) {
+		o.Limits = defaults
+	}
+	if o.Limits.Slots == 0 {
+		o.Limits.Slots = defaults.Slots
+	}
+	if o.Limits.Length == 0 {
+		o.Limits.Length = defaults.Length
+	}
+}
+
 func newIncarnation() string {
 	raw := make([]byte, incarnationBytes)
 	// crypto/rand.Read never fails on supported systems.
@@ -154,7 +166,7 @@
 	if a.engine != nil {
 		core.Add(&engineProbe{agent: a})
 	}
-	if a.config != nil {
+	if a.opts.Store != nil {
 		core.Add(a.config)
 	}
 	core.Add(httpserve.New("agent peers", a.opts.Listener, a.handler(), a.opts.DrainLimit))
@@ -204,15 +216,14 @@
 }
 
 // State returns what the agent tells other processes of itself.
-func (a *Agent) State() peer.State { return *a.state.Load() }
-
-func (a *Agent) configuration() *config.Config {
-	if a.config == nil {
-		return nil
-	}
-	return a.config.Current()
+func (a *Agent) State() peer.State {
+	st := *a.state.Load()
+	st.UptimeMillis = a.uptime().Milliseconds()
+	return st
 }
 
+func (a *Agent) configuration() *config.Config { return a.config.Current() }
+
 func (a *Agent) logEvent(e suture.Event) {
 	telemetry.Warn(a.opts.Logger, "supervisor event", "event", e.String())
 }
