--- a/agent/generation.go
+++ b/agent/generation.go
@@ -23,6 +23,7 @@
 	last      time.Time
 	end       *peer.End
 	err       *result.Error
+	delivered bool
 	listeners map[chan struct{}]struct{}
 	// abandoned is signalled when the last listener leaves.
 	abandoned chan struct{}
@@ -121,6 +122,19 @@
 	return len(g.tokens), g.end != nil
 }
 
+// markDelivered notes that a listener was sent the end.
+func (g *generation) markDelivered() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.delivered = true
+}
+
+func (g *generation) wasDelivered() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.delivered
+}
+
 func (g *generation) count() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -8,7 +8,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +20,7 @@
 	"github.com/quetzalglade/quetzalglade/claim"
 	"github.com/quetzalglade/quetzalglade/configsync"
 	"github.com/quetzalglade/quetzalglade/decision"
+	"github.com/quetzalglade/quetzalglade/internal/httpclient"
 	"github.com/quetzalglade/quetzalglade/internal/httpserve"
 	"github.com/quetzalglade/quetzalglade/membership"
 	"github.com/quetzalglade/quetzalglade/peer"
@@ -64,6 +64,8 @@
 	members  *membership.Tracker
 	peers    *peer.Client
 	claims   *claim.Registry
+	// dropped counts frames of another generation or call than expected.
+	dropped  metric.Int64Counter
 	batcher  *claim.Batcher
 	stopping atomic.Bool
 
@@ -96,8 +98,7 @@
 	if err != nil {
 		return nil, err
 	}
-	client := &http.Client{Transport: &http.Transport{DialContext: opts.Dial, MaxIdleConnsPerHost: peerConnsPerHost}}
-	peers := peer.NewClient(client, opts.Keys)
+	peers := peer.NewClient(httpclient.New(httpclient.Options{IdlePerHost: peerConnsPerHost, Dial: opts.Dial}), opts.Keys)
 	members, follower := newFleetView(&opts, peers)
 	batcher := claim.NewBatcher(opts.Store, opts.Claims)
 	e := &Entry{
@@ -107,6 +108,7 @@
 		config:   follower,
 		members:  members,
 		peers:    peers,
+		dropped:  metrics.Counter("crossed_replies", "replies of another generation or call that were dropped"),
 		claims:   claim.NewRegistry(opts.Store, batcher, opts.ClaimRetention),
 		batcher:  batcher,
 		router:   decision.NewRouter(opts.Policy, opts.Datacentre, opts.Region),
