--- a/agent/reserve.go
+++ b/agent/reserve.go
@@ -7,7 +7,6 @@
 	"github.com/quetzalglade/quetzalglade/decision"
 	"github.com/quetzalglade/quetzalglade/peer"
 	"github.com/quetzalglade/quetzalglade/result"
-	"github.com/quetzalglade/quetzalglade/telemetry"
 )
 
 // reservationLease is how long granted room is kept for its attempt.
@@ -26,10 +25,6 @@
 	}
 	answered := make(chan *result.Error, 2)
 	if refusal := a.submit(a.reservation(&msg, answered)); refusal != nil {
-		a.recorder.Record(telemetry.Decision{
-			Kind: telemetry.KindRefuse, Request: msg.Request, Attempt: msg.ID, Workspace: msg.Workspace,
-			Service: msg.Service, Target: a.opts.VM, Choice: "refuse the reservation", Reason: refusal.Name,
-		})
 		result.Write(w, refusal)
 		return
 	}
@@ -84,7 +79,7 @@
 	}
 	held.reserved = false
 	held.began = true
-	held.refuse = j.refuse
+	held.refuse, held.tokens = j.refuse, j.tokens
 	j.admit()
 	return true
 }
--- a/cmd/quetzalglade/load.go
+++ b/cmd/quetzalglade/load.go
@@ -74,7 +74,7 @@
 	}
 	f.common(cmd)
 	cmd.Flags().StringSliceVar(&f.deployments, "deployments", []string{"pedalia", "pwani"}, "deployments to measure")
-	cmd.Flags().StringSliceVar(&f.policies, "policies", policies(), "routing policies; -slow, -hedge, -throttle, -retry or -link after a name switches that mechanism off")
+	cmd.Flags().StringSliceVar(&f.policies, "policies", policies(), "routing policies; -admission, -slow, -hedge, -throttle, -retry or -link after a name switches that mechanism off")
 	cmd.Flags().IntVar(&f.parallel, "parallel", 1, "runs at a time")
 	cmd.Flags().IntVar(&f.seeds, "seeds", 3, "number of seeds, counted from --seed")
 	return cmd
@@ -95,7 +95,6 @@
 	fl.BoolVar(&o.WithoutLong, "without-long", false, "leave long generations out")
 	fl.BoolVar(&o.Cut, "cut", false, "separate the regions in the middle third")
 	fl.IntVar(&o.RetryAtOnce, "retry-at-once", 0, "how often callers repeat a refused request at once")
-	fl.IntVar(&o.EngineSlots, "engine-slots", 64, "concurrent requests of an engine")
 	fl.IntVar(&o.PlainSlots, "plain-slots", 4, "concurrent calls of a plain service")
 	fl.DurationVar(&o.PlainDelay, "plain-delay", 30*time.Millisecond, "time of a plain call")
 	fl.DurationVar(&o.Engine.Base, "engine-base", o.Engine.Base, "time of an engine's step without sequences")
--- a/decision/route.go
+++ b/decision/route.go
@@ -53,6 +53,9 @@
 	TotalTokens int
 	// Reported is the number of requests in the engine's own, lagging report.
 	Reported int
+	// Wait and ShortWait are the agent's expected waits for long and short work.
+	Wait      time.Duration
+	ShortWait time.Duration
 	// Cadence is the target's recent time between tokens, 0 if unknown.
 	Cadence time.Duration
 	// Age is the time since the report.
@@ -88,10 +91,10 @@
 func (r *Router) Policy() Policy { return r.policy }
 
 // Route orders the targets for the work. Turn numbers the router's requests.
-func (r *Router) Route(_ Work, targets []Target, turn uint64, rnd Random) Choice {
+func (r *Router) Route(w Work, targets []Target, turn uint64, rnd Random) Choice {
 	scores := make([]float64, len(targets))
 	for i := range targets {
-		scores[i] = r.score(i, &targets[i], len(targets), turn, rnd)
+		scores[i] = r.score(w, i, &targets[i], len(targets), turn, rnd)
 	}
 	if r.policy == PolicyTwoChoices {
 		keepTwo(scores, rnd)
@@ -99,23 +102,25 @@
 	return Choice{Order: ascending(scores), Scores: scores, Reason: string(r.policy)}
 }
 
-func (r *Router) score(i int, t *Target, n int, turn uint64, rnd Random) float64 {
+func (r *Router) score(w Work, i int, t *Target, n int, turn uint64, rnd Random) float64 {
 	switch r.policy {
 	case PolicyRoundRobin:
 		return float64((uint64(i) + uint64(n) - turn%uint64(n)) % uint64(n))
 	case PolicyLeastOutstanding:
 		return float64(t.Reported) + tieBreak*rnd.Float64()
 	default:
-		return r.distance(t) + work(t) + tieBreak*rnd.Float64()
+		return r.distance(t) + work(w, t) + tieBreak*rnd.Float64()
 	}
 }
 
-// Score terms, in units of one running request.
+// Score terms, in milliseconds of wait. A running request counts as one, so
+// that work leaves its region only for a wait that exceeds the crossing.
 const (
-	otherDatacentreCost = 1.0
-	otherRegionCost     = 16.0
+	otherDatacentreCost = 2.0
+	otherRegionCost     = 60.0
 	queuedWeight        = 2.0
-	slowCost            = 1000.0
+	slowCost            = 1e5
+	millisPerSecond     = 1000
 	tieBreak            = 0.01
 	unsampledCost       = 1e6
 )
@@ -130,8 +135,13 @@
 	return 0
 }
 
-func work(t *Target) float64 {
+func work(w Work, t *Target) float64 {
 	score := float64(t.Running) + queuedWeight*float64(t.Queued) + float64(t.Sent)
+	wait := t.Wait
+	if w.Short {
+		wait = t.ShortWait
+	}
+	score += wait.Seconds() * millisPerSecond
 	switch {
 	case t.Probe:
 		return -slowCost
--- a/entry/once.go
+++ b/entry/once.go
@@ -222,6 +222,8 @@
 	defer cancel()
 	cur, err := o.entry.claims.Get(limit, o.key)
 	switch {
+	case err != nil && o.first:
+		return nil, refusal
 	case err != nil:
 		return nil, refusal.WithRan(result.RanUnknown)
 	case cur == nil:
@@ -275,7 +277,7 @@
 		case err == nil && reply.ID == msg.ID:
 			return nil, reply.Error
 		case errors.As(err, &refusal):
-			return nil, refusal
+			return nil, afterRepeat(refusal, try)
 		case errors.Is(err, syscall.ECONNREFUSED) && try == 0:
 			return nil, result.New(result.TargetLeaving, result.RanUnknown, "the target does not accept connections")
 		}
@@ -287,6 +289,17 @@
 	return e.lastWord(m, msg)
 }
 
+// afterRepeat corrects the refusal of a message that was sent before. Another
+// process may have answered, for example because the agent was replaced in
+// between; only the process that got the first message can say that the call
+// did not run.
+func afterRepeat(refusal *result.Error, try int) *result.Error {
+	if try == 0 || refusal.Code == result.AttemptRevoked || refusal.Code == result.KeyReused {
+		return refusal
+	}
+	return result.New(result.OutcomeUnknown, result.RanUnknown, "the target was replaced during the call")
+}
+
 // lastWord asks the agent of a call whose reply did not arrive.
 func (e *Entry) lastWord(m *membership.Member, msg *peer.Call) (*peer.Reply, *result.Error) {
 	ctx, cancel := context.WithTimeout(context.Background(), queryLimit)
--- a/entry/picker.go
+++ b/entry/picker.go
@@ -75,6 +75,7 @@
 		VM: t.member.VM.Name, Datacentre: t.member.State.Datacentre, Region: t.member.State.Region,
 		Running: l.Running, Queued: l.Queued, Sent: int(t.account.sent.Load() - seen.sent), Slots: l.Slots,
 		UsedTokens: l.UsedTokens, TotalTokens: l.TotalTokens, Reported: l.EngineRunning + l.EngineWaiting,
+		Wait: time.Duration(l.WaitMicros) * time.Microsecond, ShortWait: time.Duration(l.ShortWaitMicros) * time.Microsecond,
 		Cadence: time.Duration(l.CadenceMicros) * time.Microsecond,
 		Age:     now.Sub(seen.at), Slow: t.slow,
 	}
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -30,6 +30,8 @@
 	crestFor      = 10 * time.Second
 	crestDuration = 24 * time.Second
 	cutLoad       = 0.6
+	// unlimited stands for the bounds of a target behind a plain balancer.
+	unlimited = 1 << 16
 )
 
 // Scenarios returns all scenarios.
@@ -73,8 +75,11 @@
 		return errors.Newf("unknown policy %q", policy)
 	}
 	var m entry.Mechanisms
+	admission := true
 	for _, name := range strings.FieldsFunc(off, func(r rune) bool { return r == '-' }) {
 		switch name {
+		case "admission":
+			admission = false
 		case "slow":
 			m.Slow = true
 		case "hedge":
@@ -90,6 +95,10 @@
 		}
 	}
 	o.Adjust = func(d *demo.Options) {
+		if !admission {
+			d.EngineLimits = decision.QueueLimits{Slots: unlimited, Length: unlimited}
+			d.PlainLimits = decision.QueueLimits{Slots: d.PlainLimits.Slots, Length: unlimited}
+		}
 		d.AdjustEntry = func(e *entry.Options) { e.Off = m }
 	}
 	return nil
