--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -51,7 +51,7 @@
 	e := standin.DefaultEngineOptions()
 	e.Base, e.PerSequence = 2*time.Millisecond, 50*time.Microsecond
 	run, err := Do(context.Background(), Options{
-		Deployment: Pedalia(), Policy: decision.PolicyLeastWork, Seed: 7, Load: 0.1,
+		Deployment: Pedalia(), Policy: decision.PolicyLateBinding, Seed: 7, Load: 0.1,
 		Shape: Shape{Duration: time.Second, Swing: 0.5}, Drain: time.Minute, Engine: e, PlainSlots: 4,
 	})
 	if err != nil {
