--- a/agent/admission.go
+++ b/agent/admission.go
@@ -57,7 +57,8 @@
 	}
 	for _, it := range c.state.queue.Admit(now) {
 		j := c.state.jobs[it.ID]
-		j.began = true
+		j.began = !j.reserved
+		j.granted = true
 		c.agent.recorder.Record(telemetry.Decision{
 			Kind: telemetry.KindAdmit, Request: j.request, Attempt: it.ID, Workspace: it.Workspace, Service: it.Service,
 			Target: c.agent.opts.VM, Choice: "start", Reason: "capacity",
@@ -123,11 +124,13 @@
 		UsedTokens: a.UsedTokens, TotalTokens: a.TotalTokens, Slots: s.queue.Slots(),
 		CadenceMicros: a.Cadence.Microseconds(), WaitMicros: a.Wait.Microseconds(),
 		ShortWaitMicros: a.ShortWait.Microseconds(),
+		EngineRunning:   s.report.Running, EngineWaiting: s.report.Waiting,
 	}
 }
 
 // applyReport takes the engine's memory from its load report. The report lags,
-// so that nothing else is taken from it.
+// so that nothing else of it is used here; entries may ask for it.
 func (s *state) applyReport(r target.LoadReport) {
+	s.report = r
 	s.queue.SetMemory(decision.Memory{Blocks: r.TotalBlocks, BlockTokens: r.BlockTokens})
 }
--- a/entry/call.go
+++ b/entry/call.go
@@ -105,7 +105,7 @@
 	var known attempts
 	var failure *result.Error
 	for range maxAttempts {
-		m, refusal := c.entry.route(c.request, decision.Work{Workspace: c.workspace.Name, Service: c.service.Name, Priority: c.service.Priority}, tried)
+		m, refusal := c.entry.routeBound(ctx, c.request, decision.Work{Workspace: c.workspace.Name, Service: c.service.Name, Priority: c.service.Priority, Short: true, Idempotent: c.idempotent}, tried)
 		if refusal != nil {
 			if failure == nil {
 				return nil, refusal
@@ -113,12 +113,16 @@
 			break
 		}
 		var reply *peer.Reply
-		reply, failure = c.attempt(ctx, m)
+		if c.idempotent {
+			reply, failure = c.hedged(ctx, m, tried)
+		} else {
+			reply, failure = c.attempt(ctx, m, c.attemptID("call-"))
+		}
 		if failure == nil {
 			return reply, nil
 		}
 		known.note(failure.Ran)
-		if ctx.Err() != nil || (!c.idempotent && failure.Ran != result.RanNo) {
+		if ctx.Err() != nil || (!c.idempotent && failure.Ran != result.RanNo) || !c.entry.limits.mayRetry() {
 			break
 		}
 		tried[m.VM.Name] = true
@@ -127,10 +131,9 @@
 	return nil, failure.WithRan(known.verdict())
 }
 
-func (c *call) attempt(ctx context.Context, m *membership.Member) (*peer.Reply, *result.Error) {
-	defer c.entry.done(m.VM.Name)
+func (c *call) attempt(ctx context.Context, m *membership.Member, id string) (*peer.Reply, *result.Error) {
 	msg := c.message
-	msg.ID = newID("call-")
+	msg.ID = id
 	msg.Incarnation = m.State.Incarnation
 	limit, cancel := context.WithTimeout(ctx, c.service.QueueLimit()+c.service.Timeout())
 	defer cancel()
@@ -142,6 +145,7 @@
 	case err == nil && reply.Error != nil:
 		return nil, reply.Error
 	case err == nil:
+		c.entry.noteLoad(m.VM.Name, reply.Load)
 		return reply, nil
 	case errors.As(err, &refusal):
 		return nil, refusal
