--- a/agent/server.go
+++ b/agent/server.go
@@ -31,6 +31,7 @@
 	peers.HandleFunc("GET "+peer.PathGenerations+"{id}", a.handleResume)
 	peers.HandleFunc("DELETE "+peer.PathGenerations+"{id}", a.handleCancel)
 	peers.HandleFunc("POST "+peer.PathCalls, a.handleCall)
+	peers.HandleFunc("POST "+peer.PathReservations, a.handleReserve)
 	peers.HandleFunc("POST "+peer.PathOutcome, a.handleOutcome)
 	peers.HandleFunc("POST "+peer.PathRevoke, a.handleRevoke)
 	peers.HandleFunc("GET "+peer.PathState, a.handleState)
@@ -111,7 +112,7 @@
 	if a.marks.Status(attempt.Fingerprint, time.Now()) == quarantine.Quarantined {
 		return nil, errQuarantined()
 	}
-	g := newGeneration(attempt)
+	g := newGeneration(attempt, &a.gaps)
 	if held := a.generations.put(g); held != nil {
 		return nil, result.New(result.AttemptRevoked, result.RanUnknown, "the generation exists")
 	}
@@ -133,13 +134,10 @@
 			g.finish(nil, e)
 			a.generations.remove(g.id)
 		},
+		tokens: g.progress,
 	}
 	if refusal := a.submit(j); refusal != nil {
 		a.generations.remove(g.id)
-		a.recorder.Record(telemetry.Decision{
-			Kind: telemetry.KindRefuse, Request: attempt.Request, Attempt: attempt.ID, Workspace: attempt.Workspace,
-			Service: attempt.Service, Target: a.opts.VM, Choice: "refuse", Reason: refusal.Name,
-		})
 		return nil, refusal
 	}
 	return g, nil
@@ -177,6 +175,10 @@
 	for {
 		frame, last := g.read(from)
 		fresh := len(frame.Tokens) > 0 || last || frame.Admitted != admitted
+		if last || frame.Admitted != admitted {
+			load := a.State().Load
+			frame.Load = &load
+		}
 		if fresh && !send(rc, enc, &frame) {
 			return
 		}
--- a/entry/issued.go
+++ b/entry/issued.go
@@ -65,7 +65,6 @@
 	if refusal != nil {
 		return peer.IssuedKey{}, refusal
 	}
-	e.done(m.VM.Name)
 	return peer.IssuedKey{
 		VM: m.VM.Name, Incarnation: m.State.Incarnation, SeenMillis: m.State.UptimeMillis, Random: newID(""),
 	}, nil
--- a/entry/suspect.go
+++ b/entry/suspect.go
@@ -32,35 +32,33 @@
 
 // choose picks the next target: none for a quarantined content, for a suspect
 // the one that every entry picks, so that it runs at one target at a time.
-func (g *generation) choose() (*membership.Member, *result.Error) {
+func (g *generation) choose(ctx context.Context) (*membership.Member, *result.Error) {
 	switch g.entry.standing(g.fingerprint) {
 	case quarantine.Quarantined:
 		return nil, result.New(result.Quarantined, result.RanNo, "this content stopped several targets")
 	case quarantine.Suspect:
 		return g.entry.routeSuspect(g)
 	}
-	return g.entry.route(g.request, g.work(), g.tried)
+	return g.entry.routeBound(ctx, g.request, g.work(), g.tried)
 }
 
 func (e *Entry) routeSuspect(g *generation) (*membership.Member, *result.Error) {
-	var best *membership.Member
+	g.reservation = ""
+	r, refusal := e.order(g.request, g.work(), g.tried)
+	if refusal != nil {
+		return nil, refusal
+	}
+	best := 0
 	var highest uint64
-	for _, m := range e.candidates(g.service, g.tried, time.Now()) {
-		if score := rendezvous(g.fingerprint, m.VM.Name); best == nil || score > highest {
-			best, highest = m, score
+	for i, t := range r.candidates {
+		if score := rendezvous(g.fingerprint, t.member.VM.Name); score >= highest {
+			best, highest = i, score
 		}
 	}
-	if best == nil {
-		return nil, result.New(result.NoTarget, result.RanNo, "no live target serves this request").RetryAfter(retryNoTarget)
-	}
-	e.routeMu.Lock()
-	e.sent[best.VM.Name]++
-	e.routeMu.Unlock()
-	e.recorder.Record(telemetry.Decision{
-		Kind: telemetry.KindRoute, Request: g.id, Workspace: g.workspace.Name, Service: g.service.Name,
-		Target: best.VM.Name, Choice: best.VM.Name, Reason: "suspect", Version: g.config.Version,
-	})
-	return best, nil
+	r.choice.Reason = "suspect"
+	r.candidates[best].account.sent.Add(1)
+	e.recordRoute(r, best)
+	return r.candidates[best].member, nil
 }
 
 // rendezvous scores a target for a content; the highest wins.
