Give operators their own key and every connection TLS from settings

Cause: the fleet's shared key opened drain and decisions, /metrics was open to every caller, and no listener or client could use TLS.

Change: [process] operator_keys opens drain, decisions, state and metrics to operators' tools and nothing else; without it the fleet's keys do, as before. [tls] cert, key and ca turn TLS on for the listener, the other processes and https addresses of target and platform. /metrics needs a key as bearer token.

Test: entry TestAccess builds agent and entry from settings text, with a certificate made in the test, the shared key in the middle of its rotation (agent 'new, old', entry 'old, new') and platform stand-ins behind TLS.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/hex"
 	"net"
 	"sync"
@@ -42,6 +43,12 @@
 	EngineURL string
 	PlainURL  string
 	Keys      peer.Keys
+	// OperatorKeys open drain, decisions, state and metrics to operators'
+	// tools; the fleet's keys do if there are none.
+	OperatorKeys peer.Keys
+	// TLS makes the messages to other processes use TLS with ClientTLS.
+	TLS       bool
+	ClientTLS *tls.Config
 	// Store holds the configuration; nil leaves the agent without one.
 	Store  platform.Store
 	Logger log.Logger
@@ -104,7 +111,7 @@
 		started:     time.Now(),
 	}
 	a.base, a.cancel = context.WithCancel(context.Background())
-	client := httpclient.New(httpclient.Options{IdlePerHost: opts.Limits.Slots})
+	client := httpclient.New(httpclient.Options{IdlePerHost: opts.Limits.Slots, TLS: opts.ClientTLS})
 	if opts.EngineURL != "" {
 		a.engine = target.NewEngine(opts.EngineURL, client)
 	} else {
--- a/agent/server.go
+++ b/agent/server.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -32,14 +33,16 @@
 	peers.HandleFunc("POST "+peer.PathCalls, a.handleCall)
 	peers.HandleFunc("POST "+peer.PathOutcome, a.handleOutcome)
 	peers.HandleFunc("POST "+peer.PathRevoke, a.handleRevoke)
-	peers.HandleFunc("GET "+peer.PathState, a.handleState)
 	peers.HandleFunc("GET "+peer.PathBeats, a.handleBeats)
-	peers.HandleFunc("GET "+peer.PathDecisions, a.handleDecisions)
-	peers.HandleFunc("POST "+peer.PathDrain, a.handleDrain)
 	mux := http.NewServeMux()
 	a.config.Register(peers)
 	mux.Handle("/peer/", a.opts.Keys.Require(peer.Exchange(a.config, peers)))
-	mux.Handle("GET /metrics", a.metrics.Handler())
+	operators := a.opts.Keys.Operators(a.opts.OperatorKeys)
+	all := slices.Concat(a.opts.Keys, operators)
+	mux.Handle("GET "+peer.PathState, all.Require(peer.Exchange(a.config, http.HandlerFunc(a.handleState))))
+	mux.Handle("GET "+peer.PathDecisions, operators.Require(http.HandlerFunc(a.handleDecisions)))
+	mux.Handle("POST "+peer.PathDrain, operators.Require(http.HandlerFunc(a.handleDrain)))
+	mux.Handle("GET /metrics", all.Require(a.metrics.Handler()))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", a.handleReady)
 	return mux
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -1,29 +1,32 @@
 package agent
 
 import (
-	"net"
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 
 	"github.com/quetzalglade/quetzalglade/decision"
+	"github.com/quetzalglade/quetzalglade/internal/httpclient"
+	"github.com/quetzalglade/quetzalglade/internal/httpserve"
 	"github.com/quetzalglade/quetzalglade/peer"
 	"github.com/quetzalglade/quetzalglade/platform"
+	"github.com/quetzalglade/quetzalglade/settings"
 )
 
 // Settings are the INI settings of an agent process.
 type Settings struct {
 	Process struct {
-		VM         string        `ini:"vm" help:"name of this VM in the platform's list"`
-		Listen     string        `ini:"listen" help:"ip:port for other processes"`
-		Datacentre string        `ini:"datacentre" help:"data centre of this VM"`
-		Region     string        `ini:"region" help:"region of this VM"`
-		Keys       []string      `ini:"keys" help:"shared keys of the fleet; the first is sent, all are accepted"`
-		DrainGrace time.Duration `ini:"drain_grace" help:"time after a stop signal in which other processes are answered at least"`
-		DrainLimit time.Duration `ini:"drain_limit" help:"longest wait for running work at a stop"`
+		VM           string        `ini:"vm" help:"name of this VM in the platform's list"`
+		Listen       string        `ini:"listen" help:"ip:port for other processes"`
+		Datacentre   string        `ini:"datacentre" help:"data centre of this VM"`
+		Region       string        `ini:"region" help:"region of this VM"`
+		Keys         []string      `ini:"keys" help:"shared keys of the fleet; the first is sent, all are accepted"`
+		DrainGrace   time.Duration `ini:"drain_grace" help:"time after a stop signal in which other processes are answered at least"`
+		DrainLimit   time.Duration `ini:"drain_limit" help:"longest wait for running work at a stop"`
+		OperatorKeys []string      `ini:"operator_keys" help:"keys of operators' tools, for drain, decisions, state and metrics; the fleet's keys if empty"`
 	} `ini:"process"`
+	TLS    settings.TLS `ini:"tls"`
 	Target struct {
 		Engine string `ini:"engine" help:"URL of the model engine; this or plain"`
 		Plain  string `ini:"plain" help:"URL of the plain service; this or engine"`
@@ -54,14 +57,15 @@
 	if s.Platform.Store == "" {
 		return Options{}, errors.New("[platform] store is required")
 	}
-	listener, err := net.Listen("tcp", s.Process.Listen)
+	listener, clientTLS, err := httpserve.Listen(s.Process.Listen, &s.TLS)
 	if err != nil {
-		return Options{}, errors.Wrap(err, "listen")
+		return Options{}, err
 	}
 	return Options{
 		VM: s.Process.VM, Datacentre: s.Process.Datacentre, Region: s.Process.Region, Role: s.Target.Role,
 		Listener: listener, EngineURL: s.Target.Engine, PlainURL: s.Target.Plain, Keys: peer.Keys(s.Process.Keys),
-		Store:  platform.NewGateway(s.Platform.Store, &http.Client{}, s.Platform.StoreTimeout),
+		OperatorKeys: peer.Keys(s.Process.OperatorKeys), TLS: s.TLS.Enabled(), ClientTLS: clientTLS,
+		Store:  platform.NewGateway(s.Platform.Store, httpclient.New(httpclient.Options{TLS: clientTLS}), s.Platform.StoreTimeout),
 		Logger: logger, Limits: decision.QueueLimits{Slots: s.Target.Slots, Length: s.Target.Queue},
 		DrainGrace: s.Process.DrainGrace, DrainLimit: s.Process.DrainLimit,
 	}, nil
--- /dev/null
+++ b/entry/access_test.go
@@ -0,0 +1,195 @@
+package entry_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/quetzalglade/quetzalglade/agent"
+	"github.com/quetzalglade/quetzalglade/config"
+	"github.com/quetzalglade/quetzalglade/entry"
+	"github.com/quetzalglade/quetzalglade/internal/httpclient"
+	"github.com/quetzalglade/quetzalglade/internal/standin"
+	"github.com/quetzalglade/quetzalglade/operator"
+	"github.com/quetzalglade/quetzalglade/peer"
+	"github.com/quetzalglade/quetzalglade/platform"
+	"github.com/quetzalglade/quetzalglade/result"
+	"github.com/quetzalglade/quetzalglade/settings"
+)
+
+// authority is a certificate made for a test; it signs itself.
+type authority struct {
+	certFile, keyFile string
+	pair              tls.Certificate
+	client            *tls.Config
+}
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	must(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test"}, NotBefore: time.Now().Add(-time.Hour),
+		NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign | x509.KeyUsageDigitalSignature,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	must(t, err)
+	raw, err := x509.MarshalECPrivateKey(key)
+	must(t, err)
+	dir := t.TempDir()
+	a := &authority{certFile: filepath.Join(dir, "cert.pem"), keyFile: filepath.Join(dir, "key.pem")}
+	must(t, os.WriteFile(a.certFile, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), 0o600))
+	must(t, os.WriteFile(a.keyFile, pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: raw}), 0o600))
+	a.pair, err = tls.LoadX509KeyPair(a.certFile, a.keyFile)
+	must(t, err)
+	section := &settings.TLS{CA: a.certFile}
+	a.client, err = section.Client()
+	must(t, err)
+	return a
+}
+
+// serve runs a stand-in with the authority's certificate and returns its URL.
+func (a *authority) serve(t *testing.T, h http.Handler) string {
+	t.Helper()
+	s := httptest.NewUnstartedServer(h)
+	s.TLS = &tls.Config{Certificates: []tls.Certificate{a.pair}, MinVersion: tls.VersionTLS12}
+	s.StartTLS()
+	t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return s.URL
+}
+
+// run serves a process until the end of the test.
+func run(t *testing.T, serve func(context.Context) error) {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = serve(ctx)
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-done
+	})
+}
+
+// TestAccess builds a fleet from settings: TLS on every connection, the shared
+// key in the middle of its rotation, operators with a key of their own.
+func TestAccess(t *testing.T) {
+	ca := newAuthority(t)
+	client := httpclient.New(httpclient.Options{TLS: ca.client})
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	vms := standin.NewVMList(0)
+	storeURL := ca.serve(t, standin.NewStore().Handler())
+	listURL := ca.serve(t, vms.Handler())
+	store := platform.NewGateway(storeURL, client, time.Second)
+	engineOptions := standin.DefaultEngineOptions()
+	engineOptions.Models, engineOptions.Base = []string{"m1"}, time.Millisecond
+	engine := standin.NewEngine(engineOptions)
+	t.Cleanup(engine.Close)
+	_, err := operator.Publish(ctx, store, []config.Document{{
+		Name: "test", Services: []config.Service{{Name: "guide", Kind: config.KindModel, Model: "m1"}},
+		Workspaces: []config.Workspace{{Name: "w1", Weight: 1, KeyHashes: []string{config.HashKey(ownKey)}}},
+	}}, "test", time.Now())
+	must(t, err)
+	section := fmt.Sprintf("[tls]\ncert = %s\nkey = %s\nca = %s\n", ca.certFile, ca.keyFile, ca.certFile)
+	common := "datacentre = c1\nregion = central\nlisten = 127.0.0.1:0\noperator_keys = operators\n"
+
+	as := agent.DefaultSettings()
+	text := "[process]\nvm = model-1\nkeys = new, old\ndrain_grace = 1ms\n" + common + section +
+		"[platform]\nstore = " + storeURL + "\n[target]\nengine = " + ca.serve(t, engine.Handler()) + "\n"
+	must(t, settings.Parse("agent.ini", []byte(text), &as))
+	agentOptions, err := as.Options(log.NewNopLogger())
+	must(t, err)
+	a, err := agent.New(agentOptions)
+	must(t, err)
+	run(t, a.Serve)
+	agentAddr := agentOptions.Listener.Addr().String()
+	vms.Put(platform.VM{Name: "model-1", Addr: agentAddr, Role: platform.RoleTarget, State: platform.VMLive, Datacentre: "c1", Region: "central"})
+
+	es := entry.DefaultSettings()
+	text = "[process]\nvm = entry-1\nkeys = old, new\nbalancer_grace = 1ms\n" + common + section +
+		"[platform]\nstore = " + storeURL + "\nvm_list = " + listURL + "\n"
+	must(t, settings.Parse("entry.ini", []byte(text), &es))
+	entryOptions, err := es.Options(log.NewNopLogger())
+	must(t, err)
+	e, err := entry.New(entryOptions)
+	must(t, err)
+	run(t, e.Serve)
+	entryAddr := entryOptions.Listener.Addr().String()
+	for e.UsableTargets() == 0 && ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+
+	as2 := func(key string) *peer.Client {
+		c := peer.NewClient(client, peer.Keys{key})
+		c.UseTLS()
+		return c
+	}
+	Convey("A request is served over TLS while the shared key is rotated", t, func() {
+		body := strings.NewReader(ask("guide", "<<len=5>>", ""))
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+entryAddr+"/v1/completions", body)
+		So(err, ShouldBeNil)
+		req.Header.Set("Authorization", "Bearer "+ownKey)
+		resp, err := client.Do(req)
+		So(err, ShouldBeNil)
+		defer func() { _ = resp.Body.Close() }()
+		So(resp.StatusCode, ShouldEqual, http.StatusOK)
+	})
+	Convey("Both keys of the rotation are accepted, others are not", t, func() {
+		for _, addr := range []string{agentAddr, entryAddr} {
+			for _, key := range []string{"new", "old", "operators"} {
+				_, err := as2(key).State(ctx, addr)
+				So(err, ShouldBeNil)
+			}
+			for _, key := range []string{"", "older", "new, old", ownKey} {
+				_, err := as2(key).State(ctx, addr)
+				So(result.Is(err, result.Unauthenticated), ShouldBeTrue)
+			}
+		}
+	})
+	Convey("Operators' keys open drain but no traffic, the fleet's keys the reverse", t, func() {
+		So(result.Is(as2("new").Drain(ctx, agentAddr, true), result.Unauthenticated), ShouldBeTrue)
+		_, err := as2("operators").Start(ctx, agentAddr, &peer.Attempt{})
+		So(result.Is(err, result.Unauthenticated), ShouldBeTrue)
+		So(as2("operators").Drain(ctx, agentAddr, false), ShouldBeNil)
+	})
+	Convey("A client without TLS, or without the authority, gets nothing", t, func() {
+		_, err := peer.NewClient(client, peer.Keys{"new"}).State(ctx, agentAddr)
+		So(err, ShouldNotBeNil)
+		stranger := peer.NewClient(httpclient.New(httpclient.Options{}), peer.Keys{"new"})
+		stranger.UseTLS()
+		_, err = stranger.State(ctx, agentAddr)
+		So(err, ShouldNotBeNil)
+	})
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -36,9 +37,15 @@
 	// Listener accepts callers and other processes.
 	Listener net.Listener
 	Keys     peer.Keys
-	Store    platform.Store
-	List     membership.Lister
-	Logger   log.Logger
+	// OperatorKeys open drain, decisions, state and metrics to operators'
+	// tools; the fleet's keys do if there are none.
+	OperatorKeys peer.Keys
+	// TLS makes the messages to other processes use TLS with ClientTLS.
+	TLS       bool
+	ClientTLS *tls.Config
+	Store     platform.Store
+	List      membership.Lister
+	Logger    log.Logger
 	// Dial opens the connections to agents; nil selects the standard dialer.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// Policy selects the routing policy, least_work if empty.
@@ -98,7 +105,10 @@
 	if err != nil {
 		return nil, err
 	}
-	peers := peer.NewClient(httpclient.New(httpclient.Options{IdlePerHost: peerConnsPerHost, Dial: opts.Dial}), opts.Keys)
+	peers := peer.NewClient(httpclient.New(httpclient.Options{IdlePerHost: peerConnsPerHost, Dial: opts.Dial, TLS: opts.ClientTLS}), opts.Keys)
+	if opts.TLS {
+		peers.UseTLS()
+	}
 	members, follower := newFleetView(&opts, peers)
 	batcher := claim.NewBatcher(opts.Store, opts.Claims)
 	e := &Entry{
--- a/entry/server.go
+++ b/entry/server.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/quetzalglade/quetzalglade/caller"
@@ -24,11 +25,13 @@
 	mux.HandleFunc("POST /v1/keys", e.handleKeys)
 	mux.HandleFunc("/s/{service}/{path...}", e.handleCall)
 	peers := http.NewServeMux()
-	peers.HandleFunc("GET "+peer.PathState, e.handleState)
-	peers.HandleFunc("GET "+peer.PathDecisions, e.handleDecisions)
 	e.config.Register(peers)
 	mux.Handle("/peer/", e.opts.Keys.Require(peer.Exchange(e.config, peers)))
-	mux.Handle("GET /metrics", e.metrics.Handler())
+	operators := e.opts.Keys.Operators(e.opts.OperatorKeys)
+	all := slices.Concat(e.opts.Keys, operators)
+	mux.Handle("GET "+peer.PathState, all.Require(peer.Exchange(e.config, http.HandlerFunc(e.handleState))))
+	mux.Handle("GET "+peer.PathDecisions, operators.Require(http.HandlerFunc(e.handleDecisions)))
+	mux.Handle("GET /metrics", all.Require(e.metrics.Handler()))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", e.handleReady)
 	return e.closeWhileStopping(mux)
@@ -127,6 +130,7 @@
 		result.Write(w, refusal)
 		return
 	}
+	w.Header().Set(caller.HeaderRequestID, req.id)
 	id := r.PathValue("id")
 	m, refusal := e.holder(id)
 	if refusal != nil {
@@ -134,9 +138,12 @@
 		return
 	}
 	if err := e.peers.Cancel(r.Context(), m.VM.Addr, id, req.workspace.Name); err != nil {
-		result.Write(w, result.From(err))
+		failure := result.From(err)
+		if failure.Code == result.UnknownGeneration {
+			failure = unknownGeneration()
+		}
+		result.Write(w, failure)
 		return
 	}
-	w.Header().Set(caller.HeaderRequestID, req.id)
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"net"
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -10,8 +8,11 @@
 
 	"github.com/quetzalglade/quetzalglade/claim"
 	"github.com/quetzalglade/quetzalglade/decision"
+	"github.com/quetzalglade/quetzalglade/internal/httpclient"
+	"github.com/quetzalglade/quetzalglade/internal/httpserve"
 	"github.com/quetzalglade/quetzalglade/peer"
 	"github.com/quetzalglade/quetzalglade/platform"
+	"github.com/quetzalglade/quetzalglade/settings"
 )
 
 // Settings are the INI settings of an entry process.
@@ -24,7 +25,9 @@
 		Keys          []string      `ini:"keys" help:"shared keys of the fleet; the first is sent, all are accepted"`
 		BalancerGrace time.Duration `ini:"balancer_grace" help:"time after a stop signal in which requests are still accepted"`
 		DrainLimit    time.Duration `ini:"drain_limit" help:"longest wait for answers in progress at a stop"`
+		OperatorKeys  []string      `ini:"operator_keys" help:"keys of operators' tools, for drain, decisions, state and metrics; the fleet's keys if empty"`
 	} `ini:"process"`
+	TLS      settings.TLS `ini:"tls"`
 	Platform struct {
 		Store        string        `ini:"store" help:"URL of the key-value service"`
 		StoreTimeout time.Duration `ini:"store_timeout" help:"limit of one call to the key-value service"`
@@ -59,14 +62,15 @@
 	if s.Platform.Store == "" || s.Platform.VMList == "" {
 		return Options{}, errors.New("[platform] store and vm_list are required")
 	}
-	listener, err := net.Listen("tcp", s.Process.Listen)
+	listener, clientTLS, err := httpserve.Listen(s.Process.Listen, &s.TLS)
 	if err != nil {
-		return Options{}, errors.Wrap(err, "listen")
+		return Options{}, err
 	}
-	client := &http.Client{}
+	client := httpclient.New(httpclient.Options{TLS: clientTLS})
 	return Options{
 		VM: s.Process.VM, Datacentre: s.Process.Datacentre, Region: s.Process.Region, Listener: listener,
-		Keys: peer.Keys(s.Process.Keys), Logger: logger, Policy: decision.Policy(s.Routing.Policy),
+		Keys: peer.Keys(s.Process.Keys), OperatorKeys: peer.Keys(s.Process.OperatorKeys), TLS: s.TLS.Enabled(), ClientTLS: clientTLS,
+		Logger: logger, Policy: decision.Policy(s.Routing.Policy),
 		Store:         platform.NewGateway(s.Platform.Store, client, s.Platform.StoreTimeout),
 		List:          platform.NewVMList(s.Platform.VMList, client),
 		BalancerGrace: s.Process.BalancerGrace, DrainLimit: s.Process.DrainLimit,
--- a/peer/auth.go
+++ b/peer/auth.go
@@ -35,6 +35,15 @@
 	return ok == 1
 }
 
+// Operators returns the keys of operators' tools: the given ones, or the
+// fleet's if there are none.
+func (k Keys) Operators(own Keys) Keys {
+	if len(own) == 0 {
+		return k
+	}
+	return own
+}
+
 // Require wraps a handler so that it serves only requests with a valid key.
 func (k Keys) Require(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/peer/client.go
+++ b/peer/client.go
@@ -25,6 +25,7 @@
 // goroutine. A transport failure is returned as is; a refusal by the other
 // process is a *result.Error.
 type Client struct {
+	scheme   string
 	http     *http.Client
 	keys     Keys
 	versions Versions
@@ -32,7 +33,12 @@
 }
 
 // NewClient returns a client that signs with the first key.
-func NewClient(client *http.Client, keys Keys) *Client { return &Client{http: client, keys: keys} }
+func NewClient(client *http.Client, keys Keys) *Client {
+	return &Client{http: client, keys: keys, scheme: "http://"}
+}
+
+// UseTLS makes the client send over TLS. It is called before the first message.
+func (c *Client) UseTLS() { c.scheme = "https://" }
 
 // Stream is an open stream of frames.
 type Stream struct {
@@ -53,6 +59,9 @@
 	if err := json.Unmarshal(s.scan.Bytes(), &f); err != nil {
 		return Frame{}, errors.Wrap(err, "decode frame")
 	}
+	if f.Offset < 0 || (f.End != nil && f.End.Tokens < 0) {
+		return Frame{}, errors.New("decode frame: negative count")
+	}
 	return f, nil
 }
 
@@ -65,7 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newStream(resp), nil
+	return newFrameStream(resp.Body), nil
 }
 
 // Resume returns the stream of a generation from a token offset on.
@@ -75,13 +84,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return newStream(resp), nil
+	return newFrameStream(resp.Body), nil
 }
 
-func newStream(resp *http.Response) *Stream {
-	scan := bufio.NewScanner(resp.Body)
+func newFrameStream(body io.ReadCloser) *Stream {
+	scan := bufio.NewScanner(body)
 	scan.Buffer(make([]byte, 0, 4096), maxFrameBytes)
-	return &Stream{body: resp.Body, scan: scan}
+	return &Stream{body: body, scan: scan}
 }
 
 // Cancel ends a generation at once.
@@ -140,7 +149,7 @@
 		}
 		body = bytes.NewReader(data)
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, body)
+	req, err := http.NewRequestWithContext(ctx, method, c.scheme+addr+path, body)
 	if err != nil {
 		return nil, errors.Wrap(err, "peer request")
 	}
