--- /dev/null
+++ b/caller/fuzz_test.go
@@ -0,0 +1,46 @@
+package caller
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/quetzalglade/quetzalglade/result"
+)
+
+func FuzzParseCompletion(f *testing.F) {
+	for _, seed := range []string{
+		`{"model":"guide","prompt":"text","max_tokens":5,"seed":1,"stream":true}`,
+		`{"model":"guide","messages":[{"role":"user","content":"text"}]}`,
+		`{"model":"","prompt":""}`, `{"max_tokens":-1}`, `{"prompt":[1,2]}`, `[`, `null`, `{"seed":1e400}`, "\xff",
+	} {
+		f.Add([]byte(seed), true)
+		f.Add([]byte(seed), false)
+	}
+	f.Fuzz(func(t *testing.T, body []byte, chat bool) {
+		c, refusal := ParseCompletion(body, chat)
+		if (c == nil) == (refusal == nil) {
+			t.Fatal("neither or both of request and refusal")
+		}
+		if refusal != nil && (refusal.Code != result.InvalidRequest || refusal.Ran != result.RanNo) {
+			t.Fatalf("refusal %v", refusal)
+		}
+		if c != nil && (c.Service == "" || c.Prompt == "" || c.MaxTokens < 0) {
+			t.Fatalf("accepted %+v", c)
+		}
+	})
+}
+
+func FuzzResumeOffset(f *testing.F) {
+	for _, seed := range []string{"", "0", "17", "-1", "9223372036854775807", "1e3", " 1", "x"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, id string) {
+		r := httptest.NewRequest(http.MethodGet, "/", nil)
+		r.Header.Set(HeaderLastEventID, id)
+		from, refusal := ResumeOffset(r)
+		if refusal == nil && from < 0 {
+			t.Fatalf("offset %d of %q", from, id)
+		}
+	})
+}
--- a/caller/request.go
+++ b/caller/request.go
@@ -6,9 +6,11 @@
 import (
 	"encoding/json"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -48,15 +50,29 @@
 	Seed      *int64          `json:"seed"`
 }
 
-// ReadBody reads a request body of at most limit bytes.
+// bodyTimeout bounds the time in which a request's body arrives.
+const bodyTimeout = 10 * time.Second
+
+// ReadBody reads a request body of at most limit bytes from a sender that is
+// not too slow.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *result.Error) {
+	rc := http.NewResponseController(w)
+	if err := rc.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+		return nil, result.New(result.Internal, result.RanNo, "the connection has no deadlines")
+	}
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		return nil, result.New(result.BodyTooLarge, result.RanNo, "the body exceeds %d bytes", limit)
+	case err != nil:
+		// The deadline stays, so that the server does not wait for the rest.
+		w.Header().Set("Connection", "close")
+		return nil, result.New(result.InvalidRequest, result.RanNo, "the body could not be read in time")
 	}
-	if err != nil {
-		return nil, result.New(result.InvalidRequest, result.RanNo, "the body could not be read")
+	// The connection is read until the answer's end, to notice a caller that leaves.
+	if err := rc.SetReadDeadline(time.Time{}); err != nil {
+		return nil, result.New(result.Internal, result.RanNo, "the connection has no deadlines")
 	}
 	return data, nil
 }
@@ -129,7 +145,7 @@
 		return 0, nil
 	}
 	n, err := strconv.Atoi(id)
-	if err != nil || n < 0 {
+	if err != nil || n < 0 || n == math.MaxInt {
 		return 0, result.New(result.InvalidEventID, result.RanUnknown, "Last-Event-ID is not a token offset")
 	}
 	return n + 1, nil
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -214,9 +214,15 @@
 	}
 }
 
+// unknownGeneration is the one answer for ids that are forged, of another
+// workspace, or no longer held.
+func unknownGeneration() *result.Error {
+	return result.New(result.UnknownGeneration, result.RanUnknown, "unknown generation")
+}
+
 // holder finds the target that holds a generation.
 func (e *Entry) holder(id string) (*membership.Member, *result.Error) {
-	unknown := result.New(result.UnknownGeneration, result.RanUnknown, "unknown generation")
+	unknown := unknownGeneration()
 	vm, _, ok := peer.ParseGenerationID(id)
 	if !ok {
 		return nil, unknown
@@ -241,6 +247,7 @@
 		result.Write(w, refusal)
 		return
 	}
+	w.Header().Set(caller.HeaderRequestID, req.id)
 	from, refusal := caller.ResumeOffset(r)
 	if refusal != nil {
 		result.Write(w, refusal)
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -29,6 +29,8 @@
 	// replaceable is set if another generation can take over, so that little
 	// time is spent on the connection to this one.
 	replaceable bool
+	// opened is set once a stream of the generation was open.
+	opened bool
 }
 
 // errCrossed is returned for a frame of another generation.
@@ -100,6 +102,8 @@
 		return rl.fail(result.ReplayDiverged, "a second run did not reproduce the delivered tokens")
 	case errors.As(err, &refusal) && first:
 		return refusal
+	case errors.As(err, &refusal) && refusal.Code == result.UnknownGeneration && rl.open == nil && !rl.opened:
+		return unknownGeneration()
 	case errors.As(err, &refusal) && refusal.Code == result.UnknownGeneration, errors.Is(err, errReplaced):
 		return rl.lost("the generation is lost")
 	case errors.As(err, &refusal):
@@ -141,6 +145,7 @@
 		return nil, err
 	}
 	defer stream.Close()
+	rl.opened = true
 	for {
 		f, err := stream.Next()
 		if err != nil {
--- /dev/null
+++ b/peer/fuzz_test.go
@@ -0,0 +1,48 @@
+package peer
+
+import (
+	"bytes"
+	"io"
+	"testing"
+)
+
+func FuzzParseGenerationID(f *testing.F) {
+	for _, seed := range []string{"", "gen-", "gen-vm.inc.rnd", "gen-a.b.c.d", "gen-..", "gen-.x.y", "gen-x..y", "vm.inc.rnd"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, id string) {
+		vm, incarnation, ok := ParseGenerationID(id)
+		if !ok {
+			return
+		}
+		if vm == "" || incarnation == "" {
+			t.Fatalf("%q: empty part", id)
+		}
+		random := id[len(GenerationID(vm, incarnation, "")):]
+		if GenerationID(vm, incarnation, random) != id {
+			t.Fatalf("%q is not built from its parts", id)
+		}
+	})
+}
+
+func FuzzFrames(f *testing.F) {
+	for _, seed := range []string{
+		"", "{}\n", `{"generation":"g","offset":3,"tokens":["a","b"]}` + "\n", `{"end":{"reason":"stop","tokens":2}}` + "\n",
+		`{"error":{"code":3001,"ran":"yes"}}`, `{"offset":-1}`, "{\n}", "null\n", "\xff\n",
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s := newFrameStream(io.NopCloser(bytes.NewReader(data)))
+		for range len(data) + 2 {
+			frame, err := s.Next()
+			if err != nil {
+				return
+			}
+			if frame.Offset < 0 || (frame.End != nil && frame.End.Tokens < 0) {
+				t.Fatalf("negative count in %+v", frame)
+			}
+		}
+		t.Fatal("the stream does not end")
+	})
+}
--- a/target/engine.go
+++ b/target/engine.go
@@ -162,6 +162,9 @@
 		c.PromptTokens = w.Usage.PromptTokens
 		c.CompletionTokens = w.Usage.CompletionTokens
 	}
+	if c.PromptTokens < 0 || c.CompletionTokens < 0 {
+		return Chunk{}, errors.New("engine chunk has a negative count")
+	}
 	if c.Finish != "" {
 		return c, nil
 	}
@@ -169,6 +172,9 @@
 	if err != nil {
 		return Chunk{}, errors.Wrap(err, "engine event id")
 	}
+	if offset < 0 {
+		return Chunk{}, errors.New("engine event id is negative")
+	}
 	c.Offset = offset
 	return c, nil
 }
