--- a/entry/access_test.go
+++ b/entry/access_test.go
@@ -102,94 +102,114 @@
 	})
 }
 
-// TestAccess builds a fleet from settings: TLS on every connection, the shared
-// key in the middle of its rotation, operators with a key of their own.
-func TestAccess(t *testing.T) {
+// secureFleet is an agent and an entry built from settings.
+type secureFleet struct {
+	client               *http.Client
+	agentAddr, entryAddr string
+}
+
+// peers returns a client with a key of the processes' interface.
+func (f *secureFleet) peers(key string) *peer.Client {
+	c := peer.NewClient(f.client, peer.Keys{key})
+	c.UseTLS()
+	return c
+}
+
+const processSettings = "datacentre = c1\nregion = central\nlisten = 127.0.0.1:0\noperator_keys = operators\n"
+
+func startSecure(ctx context.Context, t *testing.T) *secureFleet {
+	t.Helper()
 	ca := newAuthority(t)
-	client := httpclient.New(httpclient.Options{TLS: ca.client})
-	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-	defer cancel()
+	f := &secureFleet{client: httpclient.New(httpclient.Options{TLS: ca.client})}
 	vms := standin.NewVMList(0)
 	storeURL := ca.serve(t, standin.NewStore().Handler())
-	listURL := ca.serve(t, vms.Handler())
-	store := platform.NewGateway(storeURL, client, time.Second)
-	engineOptions := standin.DefaultEngineOptions()
-	engineOptions.Models, engineOptions.Base = []string{"m1"}, time.Millisecond
-	engine := standin.NewEngine(engineOptions)
-	t.Cleanup(engine.Close)
+	store := platform.NewGateway(storeURL, f.client, time.Second)
 	_, err := operator.Publish(ctx, store, []config.Document{{
 		Name: "test", Services: []config.Service{{Name: "guide", Kind: config.KindModel, Model: "m1"}},
 		Workspaces: []config.Workspace{{Name: "w1", Weight: 1, KeyHashes: []string{config.HashKey(ownKey)}}},
 	}}, "test", time.Now())
 	must(t, err)
-	section := fmt.Sprintf("[tls]\ncert = %s\nkey = %s\nca = %s\n", ca.certFile, ca.keyFile, ca.certFile)
-	common := "datacentre = c1\nregion = central\nlisten = 127.0.0.1:0\noperator_keys = operators\n"
+	engineOptions := standin.DefaultEngineOptions()
+	engineOptions.Models, engineOptions.Base = []string{"m1"}, time.Millisecond
+	engine := standin.NewEngine(engineOptions)
+	t.Cleanup(engine.Close)
+	section := fmt.Sprintf("[tls]\ncert = %s\nkey = %s\nca = %s\n[platform]\nstore = %s\n", ca.certFile, ca.keyFile, ca.certFile, storeURL)
+	f.agentAddr = startAgent(t, "[process]\nvm = model-1\nkeys = new, old\ndrain_grace = 1ms\n"+processSettings+section+
+		"[target]\nengine = "+ca.serve(t, engine.Handler())+"\n")
+	vms.Put(platform.VM{Name: "model-1", Addr: f.agentAddr, Role: platform.RoleTarget, State: platform.VMLive, Datacentre: "c1", Region: "central"})
+	e := startEntry(t, "[process]\nvm = entry-1\nkeys = old, new\nbalancer_grace = 1ms\n"+processSettings+section+
+		"vm_list = "+ca.serve(t, vms.Handler())+"\n", &f.entryAddr)
+	for e.UsableTargets() == 0 && ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return f
+}
 
-	as := agent.DefaultSettings()
-	text := "[process]\nvm = model-1\nkeys = new, old\ndrain_grace = 1ms\n" + common + section +
-		"[platform]\nstore = " + storeURL + "\n[target]\nengine = " + ca.serve(t, engine.Handler()) + "\n"
-	must(t, settings.Parse("agent.ini", []byte(text), &as))
-	agentOptions, err := as.Options(log.NewNopLogger())
+func startAgent(t *testing.T, text string) string {
+	t.Helper()
+	s := agent.DefaultSettings()
+	must(t, settings.Parse("agent.ini", []byte(text), &s))
+	opts, err := s.Options(log.NewNopLogger())
 	must(t, err)
-	a, err := agent.New(agentOptions)
+	a, err := agent.New(opts)
 	must(t, err)
 	run(t, a.Serve)
-	agentAddr := agentOptions.Listener.Addr().String()
-	vms.Put(platform.VM{Name: "model-1", Addr: agentAddr, Role: platform.RoleTarget, State: platform.VMLive, Datacentre: "c1", Region: "central"})
+	return opts.Listener.Addr().String()
+}
 
-	es := entry.DefaultSettings()
-	text = "[process]\nvm = entry-1\nkeys = old, new\nbalancer_grace = 1ms\n" + common + section +
-		"[platform]\nstore = " + storeURL + "\nvm_list = " + listURL + "\n"
-	must(t, settings.Parse("entry.ini", []byte(text), &es))
-	entryOptions, err := es.Options(log.NewNopLogger())
+func startEntry(t *testing.T, text string, addr *string) *entry.Entry {
+	t.Helper()
+	s := entry.DefaultSettings()
+	must(t, settings.Parse("entry.ini", []byte(text), &s))
+	opts, err := s.Options(log.NewNopLogger())
 	must(t, err)
-	e, err := entry.New(entryOptions)
+	e, err := entry.New(opts)
 	must(t, err)
 	run(t, e.Serve)
-	entryAddr := entryOptions.Listener.Addr().String()
-	for e.UsableTargets() == 0 && ctx.Err() == nil {
-		time.Sleep(10 * time.Millisecond)
-	}
+	*addr = opts.Listener.Addr().String()
+	return e
+}
 
-	as2 := func(key string) *peer.Client {
-		c := peer.NewClient(client, peer.Keys{key})
-		c.UseTLS()
-		return c
-	}
+// TestAccess uses TLS on every connection, the shared key in the middle of its
+// rotation, and operators with a key of their own.
+func TestAccess(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	f := startSecure(ctx, t)
 	Convey("A request is served over TLS while the shared key is rotated", t, func() {
 		body := strings.NewReader(ask("guide", "<<len=5>>", ""))
-		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+entryAddr+"/v1/completions", body)
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+f.entryAddr+"/v1/completions", body)
 		So(err, ShouldBeNil)
 		req.Header.Set("Authorization", "Bearer "+ownKey)
-		resp, err := client.Do(req)
+		resp, err := f.client.Do(req)
 		So(err, ShouldBeNil)
 		defer func() { _ = resp.Body.Close() }()
 		So(resp.StatusCode, ShouldEqual, http.StatusOK)
 	})
 	Convey("Both keys of the rotation are accepted, others are not", t, func() {
-		for _, addr := range []string{agentAddr, entryAddr} {
+		for _, addr := range []string{f.agentAddr, f.entryAddr} {
 			for _, key := range []string{"new", "old", "operators"} {
-				_, err := as2(key).State(ctx, addr)
+				_, err := f.peers(key).State(ctx, addr)
 				So(err, ShouldBeNil)
 			}
 			for _, key := range []string{"", "older", "new, old", ownKey} {
-				_, err := as2(key).State(ctx, addr)
+				_, err := f.peers(key).State(ctx, addr)
 				So(result.Is(err, result.Unauthenticated), ShouldBeTrue)
 			}
 		}
 	})
 	Convey("Operators' keys open drain but no traffic, the fleet's keys the reverse", t, func() {
-		So(result.Is(as2("new").Drain(ctx, agentAddr, true), result.Unauthenticated), ShouldBeTrue)
-		_, err := as2("operators").Start(ctx, agentAddr, &peer.Attempt{})
+		So(result.Is(f.peers("new").Drain(ctx, f.agentAddr, true), result.Unauthenticated), ShouldBeTrue)
+		_, err := f.peers("operators").Start(ctx, f.agentAddr, &peer.Attempt{})
 		So(result.Is(err, result.Unauthenticated), ShouldBeTrue)
-		So(as2("operators").Drain(ctx, agentAddr, false), ShouldBeNil)
+		So(f.peers("operators").Drain(ctx, f.agentAddr, false), ShouldBeNil)
 	})
 	Convey("A client without TLS, or without the authority, gets nothing", t, func() {
-		_, err := peer.NewClient(client, peer.Keys{"new"}).State(ctx, agentAddr)
+		_, err := peer.NewClient(f.client, peer.Keys{"new"}).State(ctx, f.agentAddr)
 		So(err, ShouldNotBeNil)
 		stranger := peer.NewClient(httpclient.New(httpclient.Options{}), peer.Keys{"new"})
 		stranger.UseTLS()
-		_, err = stranger.State(ctx, agentAddr)
+		_, err = stranger.State(ctx, f.agentAddr)
 		So(err, ShouldNotBeNil)
 	})
 }
--- a/entry/badinput_test.go
+++ b/entry/badinput_test.go
@@ -160,7 +160,7 @@
 		So(made.status, ShouldEqual, http.StatusOK)
 		id := made.header.Get("X-Generation-Id")
 		So(id, ShouldNotBeEmpty)
-		same := func(key string, a, b reply) {
+		same := func(a, b reply) {
 			So(a.status, ShouldEqual, b.status)
 			So(a.body, ShouldEqual, b.body)
 			So(len(a.header), ShouldEqual, len(b.header))
@@ -169,19 +169,19 @@
 			for _, method := range []string{"GET", "DELETE"} {
 				there := send(t, method, url+"/v1/generations/"+id, otherKey, "")
 				So(there.code, ShouldEqual, result.UnknownGeneration)
-				same(otherKey, there, send(t, method, url+"/v1/generations/gen-none.000000000000.00", otherKey, ""))
-				same(otherKey, there, send(t, method, url+"/v1/generations/"+id+"0", otherKey, ""))
+				same(there, send(t, method, url+"/v1/generations/gen-none.000000000000.00", otherKey, ""))
+				same(there, send(t, method, url+"/v1/generations/"+id+"0", otherKey, ""))
 			}
 		})
 		Convey("a caller without a valid key learns nothing", func() {
 			for _, key := range []string{"", "wrong"} {
 				want := send(t, "GET", url+"/v1/generations/none", key, "")
 				So(want.code, ShouldEqual, result.Unauthenticated)
-				same(key, want, send(t, "GET", url+"/v1/generations/"+id, key, ""))
-				same(key, want, send(t, "POST", url+"/v1/completions", key, ask("guide", "p", "")))
-				same(key, want, send(t, "POST", url+"/v1/completions", key, ask("none", "p", "")))
-				same(key, want, send(t, "GET", url+"/s/booking/x", key, ""))
-				same(key, want, send(t, "GET", url+"/s/none/x", key, ""))
+				same(want, send(t, "GET", url+"/v1/generations/"+id, key, ""))
+				same(want, send(t, "POST", url+"/v1/completions", key, ask("guide", "p", "")))
+				same(want, send(t, "POST", url+"/v1/completions", key, ask("none", "p", "")))
+				same(want, send(t, "GET", url+"/s/booking/x", key, ""))
+				same(want, send(t, "GET", url+"/s/none/x", key, ""))
 				for _, path := range []string{"/metrics", "/peer/v1/state", "/peer/v1/decisions", "/peer/v1/none"} {
 					So(send(t, "GET", url+path, key, "").code, ShouldEqual, result.Unauthenticated)
 				}
--- a/entry/once.go
+++ b/entry/once.go
@@ -223,6 +223,8 @@
 	defer cancel()
 	cur, err := o.entry.claims.Get(limit, o.key)
 	switch {
+	case err != nil && o.first:
+		return nil, refusal
 	case err != nil:
 		return nil, refusal.WithRan(result.RanUnknown)
 	case cur == nil:
