--- a/internal/faulttest/fleet_test.go
+++ b/internal/faulttest/fleet_test.go
@@ -120,7 +120,7 @@
 
 // serve runs a stand-in and returns its address. Open streams are cut at the
 // end of the test.
-func serve(t *testing.T, h http.Handler) string {
+func serve(t testing.TB, h http.Handler) string {
 	t.Helper()
 	s := httptest.NewServer(h)
 	t.Cleanup(func() {
--- a/internal/faulttest/process_test.go
+++ b/internal/faulttest/process_test.go
@@ -51,7 +51,7 @@
 
 // process is a running daemon.
 type process struct {
-	t    *testing.T
+	t    testing.TB
 	name string
 	addr string
 	file string
@@ -67,7 +67,7 @@
 
 // startDaemon runs a daemon with settings text. The text must make it listen
 // on addr.
-func startDaemon(t *testing.T, program, name, addr, settings string) *process {
+func startDaemon(t testing.TB, program, name, addr, settings string) *process {
 	t.Helper()
 	dir, err := binaries()
 	if err != nil {
@@ -172,7 +172,7 @@
 }
 
 // freeAddr returns a loopback address that nothing listens on.
-func freeAddr(t *testing.T) string {
+func freeAddr(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -183,7 +183,7 @@
 }
 
 // eventually polls until the condition holds.
-func eventually(t *testing.T, limit time.Duration, what string, cond func() bool) {
+func eventually(t testing.TB, limit time.Duration, what string, cond func() bool) {
 	t.Helper()
 	deadline := time.Now().Add(limit)
 	for !cond() {
