Replace the entry's throttle by a bound on requests in progress

Cause: the throttle refused at the entry what exceeded 1.5 times what targets accepted of a workspace and priority. Targets refuse by expected wait at little cost, so that the throttle only turned away work that they would have taken. Its test goes with it.

A workspace's max_concurrent, declared but not enforced until now, bounds its requests in progress at an entry. A keyed call refused that way is not said to be not run, since an earlier request with its key may have run.

--- a/decision/limit.go
+++ b/decision/limit.go
@@ -1,69 +1,29 @@
 package decision
 
-import (
-	"math"
-	"time"
-)
+// WorkspaceLimit bounds the requests in progress of each workspace at one
+// entry. Entries need no coordination: the platform's balancer spreads callers.
+type WorkspaceLimit struct{ active map[string]int }
 
-// ThrottleLimits set when an entry refuses work by itself.
-type ThrottleLimits struct {
-	// Excess is how many requests are passed on for each one accepted.
-	Excess float64
-	// Window is the time constant over which both are counted.
-	Window time.Duration
-	// Floor is the number of requests in the window below which all pass.
-	Floor float64
-}
-
-// DefaultThrottleLimits returns limits that pass half as much again as targets
-// accept.
-func DefaultThrottleLimits() ThrottleLimits {
-	return ThrottleLimits{Excess: 1.5, Window: time.Second, Floor: 20}
-}
-
-// Throttle refuses at the entry part of the work that targets would refuse
-// anyway, so that callers who repeat at once do not load them. It counts one
-// workspace's requests of one priority and how many of them targets refused;
-// entries need no coordination, since each sees its own share of both.
-type Throttle struct {
-	limits   ThrottleLimits
-	requests float64
-	accepted float64
-	at       time.Time
-}
+// NewWorkspaceLimit returns a limit with nothing in progress.
+func NewWorkspaceLimit() *WorkspaceLimit { return &WorkspaceLimit{active: map[string]int{}} }
 
-// NewThrottle returns a throttle that passes everything.
-func NewThrottle(limits ThrottleLimits) *Throttle { return &Throttle{limits: limits} }
-
-// Pass counts a request and reports whether it may go to the targets; random
-// is a uniform number in [0, 1).
-func (t *Throttle) Pass(now time.Time, random float64) bool {
-	t.decay(now)
-	t.requests++
-	excess := (t.requests - t.limits.Excess*max(t.accepted, 1)) / t.requests
-	if t.requests > t.limits.Floor && random < excess {
+// Enter counts a request and reports true, unless the workspace has most in
+// progress already; 0 is no bound. Leave ends a request that entered.
+func (l *WorkspaceLimit) Enter(workspace string, most int) bool {
+	if most > 0 && l.active[workspace] >= most {
 		return false
 	}
-	t.accepted++
+	l.active[workspace]++
 	return true
 }
 
-// Refuse counts the refusal of a request that had passed.
-func (t *Throttle) Refuse(now time.Time) {
-	t.decay(now)
-	t.accepted = max(t.accepted-1, 0)
-}
-
-// decay forgets in proportion to the time passed.
-func (t *Throttle) decay(now time.Time) {
-	if !now.After(t.at) {
-		return
+// Leave ends a request.
+func (l *WorkspaceLimit) Leave(workspace string) {
+	l.active[workspace]--
+	if l.active[workspace] <= 0 {
+		delete(l.active, workspace)
 	}
-	keep := 0.0
-	if !t.at.IsZero() {
-		keep = math.Exp(-float64(now.Sub(t.at)) / float64(t.limits.Window))
-	}
-	t.requests *= keep
-	t.accepted *= keep
-	t.at = now
 }
+
+// Active returns the number of the workspace's requests in progress.
+func (l *WorkspaceLimit) Active(workspace string) int { return l.active[workspace] }
--- a/decision/routing_test.go
+++ b/decision/routing_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sort"
+	"strings"
 	"testing"
 	"time"
 
@@ -177,41 +178,27 @@
 	})
 }
 
-// TestThrottleBoundsRepeatedRefusals sends at many times what targets accept:
-// what passes settles near the excess over the accepted rate, and everything
-// passes again once targets accept.
-func TestThrottleBoundsRepeatedRefusals(t *testing.T) {
-	limits := DefaultThrottleLimits()
-	th := NewThrottle(limits)
-	rnd := rand.New(rand.NewPCG(3, 3))
-	now := epoch
-	passed, accepted := 0, 0
-	const rate, capacity, seconds = 1000, 100, 10
-	for i := range rate * seconds {
-		now = now.Add(time.Second / rate)
-		if !th.Pass(now, rnd.Float64()) {
-			continue
-		}
-		passed++
-		if accepted < i*capacity/rate {
-			accepted++
-			continue
-		}
-		th.Refuse(now)
-	}
-	if accepted < capacity*seconds*9/10 {
-		t.Fatalf("only %d were accepted", accepted)
-	}
-	if float64(passed) > 2*limits.Excess*float64(accepted) {
-		t.Fatalf("%d passed for %d accepted", passed, accepted)
-	}
-	now = now.Add(5 * time.Second)
-	for i := range 1000 {
-		now = now.Add(time.Millisecond)
-		if !th.Pass(now, rnd.Float64()) {
-			t.Fatalf("request %d is refused without an overload", i)
+func TestWorkspaceLimitCountsWhatEntered(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := NewWorkspaceLimit()
+		most := rapid.IntRange(0, 5).Draw(t, "most")
+		active := map[string]int{}
+		for _, w := range rapid.SliceOf(rapid.SampledFrom([]string{"a", "b", "-a", "-b"})).Draw(t, "events") {
+			name, leaves := strings.CutPrefix(w, "-")
+			switch {
+			case leaves && active[name] > 0:
+				l.Leave(name)
+				active[name]--
+			case !leaves && l.Enter(name, most):
+				active[name]++
+			case !leaves && (most == 0 || active[name] < most):
+				t.Fatalf("refused with %d of %d", active[name], most)
+			}
+			if l.Active(name) != active[name] || (most > 0 && active[name] > most) {
+				t.Fatalf("%d counted, %d entered, limit %d", l.Active(name), active[name], most)
+			}
 		}
-	}
+	})
 }
 
 func TestHedgerKeepsItsBudget(t *testing.T) {
--- a/entry/call.go
+++ b/entry/call.go
@@ -33,6 +33,11 @@
 		return
 	}
 	w.Header().Set(caller.HeaderRequestID, req.id)
+	if refusal := e.limits.enter(req); refusal != nil {
+		result.Write(w, beforeLookup(r, refusal))
+		return
+	}
+	defer e.limits.leave(req)
 	defer e.observe(req)
 	reply, failure := e.call(w, r, req)
 	if failure != nil {
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -49,6 +49,11 @@
 		result.Write(w, refusal)
 		return
 	}
+	if refusal := e.limits.enter(req); refusal != nil {
+		result.Write(w, refusal)
+		return
+	}
+	defer e.limits.leave(req)
 	g, refusal := e.newGeneration(w, r, req, chat)
 	if refusal != nil {
 		w.Header().Set(caller.HeaderRequestID, req.id)
@@ -260,7 +265,6 @@
 }
 
 func (e *Entry) recordRefusal(req *request, failure *result.Error) {
-	e.limits.refused(req, failure)
 	d := telemetry.Decision{
 		Kind: telemetry.KindRefuse, Request: req.id, Workspace: req.workspace.Name, Generation: failure.GenerationID,
 		Choice: "answer with an error", Reason: failure.Name, Version: req.config.Version,
--- a/entry/issued.go
+++ b/entry/issued.go
@@ -140,7 +140,8 @@
 // beforeLookup returns the refusal of a call that came before its key could be
 // looked up: an earlier request with the key may have run.
 func beforeLookup(r *http.Request, refusal *result.Error) *result.Error {
-	if refusal.Code == result.ConfigurationAbsent && r.Header.Get(caller.HeaderIdempotencyKey) != "" && !isFirst(r) {
+	early := refusal.Code == result.ConfigurationAbsent || refusal.Code == result.WorkspaceLimited
+	if early && r.Header.Get(caller.HeaderIdempotencyKey) != "" && !isFirst(r) {
 		return refusal.WithRan(result.RanUnknown)
 	}
 	return refusal
--- a/entry/route.go
+++ b/entry/route.go
@@ -53,11 +53,6 @@
 
 // order describes the targets that may get the work and orders them.
 func (e *Entry) order(req *request, work decision.Work, tried map[string]bool) (*routing, *result.Error) {
-	if len(tried) == 0 {
-		if refusal := e.limits.pass(req); refusal != nil {
-			return nil, refusal
-		}
-	}
 	r := &routing{request: req, work: work, started: time.Now()}
 	r.candidates = e.picker.current.Load().candidates(e.members.View(), req.service, tried, r.started)
 	r.candidates = e.stayHome(r.candidates)
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -84,8 +84,6 @@
 			m.Slow = true
 		case "hedge":
 			m.Hedge = true
-		case "throttle":
-			m.Throttle = true
 		case "retry":
 			m.RetryBudget = true
 		case "link":
