--- a/agent/agent.go
+++ b/agent/agent.go
@@ -45,6 +45,9 @@
 	// Store holds the configuration; nil leaves the agent without one.
 	Store  platform.Store
 	Logger log.Logger
+	// Lengths tells the length of an answer from its prompt; nil leaves it
+	// unknown. Only measurements of what that knowledge is worth set it.
+	Lengths func(prompt string) int
 	// Limits bound the target's work; the zero value selects the defaults.
 	Limits decision.QueueLimits
 	// DrainGrace is how long a stopping agent answers other processes at
--- a/agent/server.go
+++ b/agent/server.go
@@ -110,12 +110,16 @@
 		return nil, result.New(result.AttemptRevoked, result.RanUnknown, "the generation exists")
 	}
 	now := time.Now()
+	length := 0
+	if a.opts.Lengths != nil {
+		length = a.opts.Lengths(attempt.Prompt)
+	}
 	j := &job{
 		request: attempt.Request,
 		item: &decision.Item{
 			ID: attempt.ID, Workspace: attempt.Workspace, Service: attempt.Service,
 			Priority: attempt.Priority, Weight: attempt.Weight, Short: attempt.Short,
-			PromptTokens: attempt.PromptTokens, MaxTokens: attempt.MaxTokens,
+			PromptTokens: attempt.PromptTokens, MaxTokens: attempt.MaxTokens, Length: length,
 			Arrived: now, Deadline: now.Add(time.Duration(attempt.QueueMillis) * time.Millisecond),
 		},
 		admit: func() {
--- a/cmd/quetzalglade/load.go
+++ b/cmd/quetzalglade/load.go
@@ -74,7 +74,7 @@
 	}
 	f.common(cmd)
 	cmd.Flags().StringSliceVar(&f.deployments, "deployments", []string{"pedalia", "pwani"}, "deployments to measure")
-	cmd.Flags().StringSliceVar(&f.policies, "policies", policies(), "routing policies; -admission, -slow, -hedge, -retry or -link after a name switches that mechanism off")
+	cmd.Flags().StringSliceVar(&f.policies, "policies", policies(), "routing policies; -admission, -slow, -hedge, -retry or -link after a name switches that mechanism off, +told tells the lengths in advance")
 	cmd.Flags().IntVar(&f.parallel, "parallel", 1, "runs at a time")
 	cmd.Flags().IntVar(&f.seeds, "seeds", 3, "number of seeds, counted from --seed")
 	return cmd
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -7,9 +7,11 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/quetzalglade/quetzalglade/agent"
 	"github.com/quetzalglade/quetzalglade/decision"
 	"github.com/quetzalglade/quetzalglade/entry"
 	"github.com/quetzalglade/quetzalglade/internal/demo"
+	"github.com/quetzalglade/quetzalglade/internal/standin"
 )
 
 // Scenario changes the options of a run to bring one situation about.
@@ -66,10 +68,15 @@
 	return errors.Newf("unknown scenario %q", name)
 }
 
+// toldSuffix marks a variant whose agents are told every length in advance.
+const toldSuffix = "+told"
+
 // Variant sets the options of a policy, which may carry the mechanisms that are
-// switched off: "late_binding-hedge-slow".
+// switched off, "late_binding-hedge-slow", or be told every length in advance,
+// "least_work+told".
 func Variant(label string, o *Options) error {
-	policy, off, _ := strings.Cut(label, "-")
+	name, told := strings.CutSuffix(label, toldSuffix)
+	policy, off, _ := strings.Cut(name, "-")
 	o.Label, o.Policy = label, decision.Policy(policy)
 	if !slices.Contains(decision.Policies(), o.Policy) {
 		return errors.Newf("unknown policy %q", policy)
@@ -97,6 +104,9 @@
 			d.EngineLimits = decision.QueueLimits{Slots: unlimited, Length: unlimited}
 			d.PlainLimits = decision.QueueLimits{Slots: d.PlainLimits.Slots, Length: unlimited}
 		}
+		if told {
+			d.AdjustAgent = func(a *agent.Options) { a.Lengths = standin.MarkedLength }
+		}
 		d.AdjustEntry = func(e *entry.Options) { e.Off = m }
 	}
 	return nil
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -188,6 +188,20 @@
 	crashMarker  = "<<crash>>"
 )
 
+// MarkedLength returns the output length that a prompt's marker sets, 0 if it
+// has none.
+func MarkedLength(prompt string) int {
+	m := lengthMarker.FindStringSubmatch(prompt)
+	if m == nil {
+		return 0
+	}
+	n, err := strconv.Atoi(m[1])
+	if err != nil {
+		return 0
+	}
+	return max(n, 1)
+}
+
 const bytesPerToken = 4
 
 // tailSpread is the sigma of the log-normal distribution of output lengths.
@@ -207,11 +221,8 @@
 }
 
 func (e *Engine) length(prompt string, seed uint64) int {
-	if m := lengthMarker.FindStringSubmatch(prompt); m != nil {
-		n, err := strconv.Atoi(m[1])
-		if err == nil {
-			return max(n, 1)
-		}
+	if n := MarkedLength(prompt); n > 0 {
+		return n
 	}
 	r := rand.New(rand.NewPCG(seed, seed))
 	return max(int(float64(e.opts.MedianLength)*math.Exp(tailSpread*r.NormFloat64())), 1)
