--- a/agent/cadence.go
+++ b/agent/cadence.go
@@ -6,7 +6,7 @@
 )
 
 // cadenceShift sets the weight of one new call in the average: 1/2^shift.
-const cadenceShift = 4
+const cadenceShift = 2
 
 // cadence is a moving average of the time of a plain service's calls. It is
 // measured here, beside the target, so that a slow link between processes has
--- a/decision/hedge.go
+++ b/decision/hedge.go
@@ -14,7 +14,7 @@
 
 // DefaultHedgeLimits allows a twentieth of the work.
 func DefaultHedgeLimits() HedgeLimits {
-	return HedgeLimits{Ratio: 0.05, Factor: 3, Least: 5 * time.Millisecond}
+	return HedgeLimits{Ratio: 0.05, Factor: 1.5, Least: 5 * time.Millisecond}
 }
 
 // Hedger decides when a second copy of idempotent short work is sent. Work
--- a/entry/slow.go
+++ b/entry/slow.go
@@ -45,6 +45,11 @@
 		t.probe = nil
 		return
 	}
+	if t.account.seen.Load().load.Running > 0 {
+		// Work in progress tells the cadence.
+		t.probe = nil
+		return
+	}
 	if c.detectors[t.member.State.Role].Probe(vm, now) {
 		t.probe = &atomic.Bool{}
 		t.probe.Store(true)
