Report what the caller has when a replay finds no room

Cause: a generation was lost after tokens were delivered and restarted to be verified; the next target refused by expected wait, and conclude reported that refusal, which says 0 tokens, since the restarted responder counts from 0.

--- a/entry/generate.go
+++ b/entry/generate.go
@@ -153,7 +153,7 @@
 	case result.ReplayDiverged, result.Cancelled, result.DeadlineExceeded:
 		return next
 	}
-	if next.Code == result.NoTarget || g.responder.Delivered() > 0 {
+	if next.Code == result.NoTarget || g.responder.Delivered() > 0 || earlier.Delivered > 0 {
 		return earlier
 	}
 	return next
