--- a/agent/control.go
+++ b/agent/control.go
@@ -147,6 +147,7 @@
 		Draining:    c.state.draining,
 		Ready:       c.state.ready,
 		Models:      c.state.models,
+		Marks:       a.marks.Shared(time.Now()),
 		Load:        c.state.load(),
 	}
 	if a.plain != nil {
