--- a/entry/hedge_test.go
+++ b/entry/hedge_test.go
@@ -48,7 +48,8 @@
 	return f
 }
 
-func send(t *testing.T, f *demo.Fleet, method string, n int) {
+// order makes one call to the ordering service.
+func order(t *testing.T, f *demo.Fleet, method string, n int) {
 	t.Helper()
 	req, err := http.NewRequestWithContext(context.Background(), method, f.EntryURLs[0]+fmt.Sprint("/s/ordering/orders/", n), strings.NewReader("{}"))
 	if err != nil {
@@ -73,12 +74,12 @@
 		t.Run(string(policy), func(t *testing.T) {
 			f := startPlains(t, policy)
 			for i := range 20 {
-				send(t, f, http.MethodGet, i)
+				order(t, f, http.MethodGet, i)
 			}
 			f.Plains[0].SetDelay(slowDelay)
 			const orders = 12
 			for i := range orders {
-				send(t, f, http.MethodPost, i)
+				order(t, f, http.MethodPost, i)
 			}
 			ran := 0
 			for _, p := range f.Plains {
@@ -98,7 +99,7 @@
 func waitForSecondCopy(t *testing.T, f *demo.Fleet, answered int) {
 	t.Helper()
 	for ; answered < maxLookups; answered++ {
-		send(t, f, http.MethodGet, answered)
+		order(t, f, http.MethodGet, answered)
 		ran := 0
 		for _, p := range f.Plains {
 			ran += p.Lookups()
