--- a/agent/agent.go
+++ b/agent/agent.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/hex"
 	"net"
 	"sync"
@@ -43,9 +44,18 @@
 	EngineURL string
 	PlainURL  string
 	Keys      peer.Keys
+	// OperatorKeys open drain, decisions, state and metrics to operators'
+	// tools; the fleet's keys do if there are none.
+	OperatorKeys peer.Keys
+	// TLS makes the messages to other processes use TLS with ClientTLS.
+	TLS       bool
+	ClientTLS *tls.Config
 	// Store holds the configuration; nil leaves the agent without one.
 	Store  platform.Store
 	Logger log.Logger
+	// Lengths tells the length of an answer from its prompt; nil leaves it
+	// unknown. Only measurements of what that knowledge is worth set it.
+	Lengths func(prompt string) int
 	// Limits bound the target's work; the zero value selects the defaults.
 	Limits decision.QueueLimits
 	// DrainGrace is how long a stopping agent answers other processes at
@@ -109,7 +119,7 @@
 		marks:       quarantine.NewKeeper(opts.Store, opts.Logger, false),
 	}
 	a.base, a.cancel = context.WithCancel(context.Background())
-	client := httpclient.New(httpclient.Options{IdlePerHost: opts.Limits.Slots})
+	client := httpclient.New(httpclient.Options{IdlePerHost: opts.Limits.Slots, TLS: opts.ClientTLS})
 	if opts.EngineURL != "" {
 		a.engine = target.NewEngine(opts.EngineURL, client)
 	} else {
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -51,6 +51,11 @@
 		result.Write(w, refusal)
 		return
 	}
+	if refusal := e.limits.enter(req); refusal != nil {
+		result.Write(w, refusal)
+		return
+	}
+	defer e.limits.leave(req)
 	g, refusal := e.newGeneration(w, r, req, chat)
 	if refusal != nil {
 		w.Header().Set(caller.HeaderRequestID, req.id)
@@ -152,7 +157,7 @@
 	case result.ReplayDiverged, result.Cancelled, result.DeadlineExceeded, result.Quarantined:
 		return next
 	}
-	if next.Code == result.NoTarget || g.responder.Delivered() > 0 {
+	if next.Code == result.NoTarget || g.responder.Delivered() > 0 || earlier.Delivered > 0 {
 		return earlier
 	}
 	return next
@@ -218,9 +223,15 @@
 	}
 }
 
+// unknownGeneration is the one answer for ids that are forged, of another
+// workspace, or no longer held.
+func unknownGeneration() *result.Error {
+	return result.New(result.UnknownGeneration, result.RanUnknown, "unknown generation")
+}
+
 // holder finds the target that holds a generation.
 func (e *Entry) holder(id string) (*membership.Member, *result.Error) {
-	unknown := result.New(result.UnknownGeneration, result.RanUnknown, "unknown generation")
+	unknown := unknownGeneration()
 	vm, _, ok := peer.ParseGenerationID(id)
 	if !ok {
 		return nil, unknown
@@ -245,6 +256,7 @@
 		result.Write(w, refusal)
 		return
 	}
+	w.Header().Set(caller.HeaderRequestID, req.id)
 	from, refusal := caller.ResumeOffset(r)
 	if refusal != nil {
 		result.Write(w, refusal)
@@ -264,7 +276,6 @@
 }
 
 func (e *Entry) recordRefusal(req *request, failure *result.Error) {
-	e.limits.refused(req, failure)
 	d := telemetry.Decision{
 		Kind: telemetry.KindRefuse, Request: req.id, Workspace: req.workspace.Name, Generation: failure.GenerationID,
 		Choice: "answer with an error", Reason: failure.Name, Version: req.config.Version,
