--- a/cmd/quetzalglade/connection.go
+++ b/cmd/quetzalglade/connection.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/quetzalglade/quetzalglade/internal/httpclient"
 	"github.com/quetzalglade/quetzalglade/operator"
 	"github.com/quetzalglade/quetzalglade/peer"
 	"github.com/quetzalglade/quetzalglade/platform"
@@ -22,7 +23,9 @@
 		Timeout time.Duration `ini:"timeout" help:"limit of one call to the platform or to a process"`
 	} `ini:"platform"`
 	Access struct {
-		Key string `ini:"key" help:"key that the fleet's processes accept"`
+		Key string `ini:"key" help:"key that the fleet's processes accept; one of their operator_keys"`
+		TLS bool   `ini:"tls" help:"whether the fleet's processes use TLS"`
+		CA  string `ini:"ca" help:"file of the authorities to accept in PEM format; the system's if empty"`
 	} `ini:"access"`
 }
 
@@ -76,7 +79,21 @@
 	if c.loaded.Platform.Store == "" {
 		return nil, errors.New("no store: give --store URL or a settings file with [platform] store")
 	}
-	return platform.NewGateway(c.loaded.Platform.Store, &http.Client{}, c.loaded.Platform.Timeout), nil
+	client, err := c.client()
+	if err != nil {
+		return nil, err
+	}
+	return platform.NewGateway(c.loaded.Platform.Store, client, c.loaded.Platform.Timeout), nil
+}
+
+// client returns the HTTP client for platform and fleet.
+func (c *connection) client() (*http.Client, error) {
+	authorities := settings.TLS{CA: c.loaded.Access.CA}
+	cfg, err := authorities.Client()
+	if err != nil {
+		return nil, err
+	}
+	return httpclient.New(httpclient.Options{TLS: cfg}), nil
 }
 
 // openFleet returns access to the fleet's processes.
@@ -87,9 +104,16 @@
 	if c.loaded.Platform.VMList == "" || c.loaded.Access.Key == "" {
 		return nil, errors.New("no fleet: give --vm-list URL and --key KEY, or a settings file with [platform] vm_list and [access] key")
 	}
-	client := &http.Client{}
+	client, err := c.client()
+	if err != nil {
+		return nil, err
+	}
+	peers := peer.NewClient(client, peer.Keys{c.loaded.Access.Key})
+	if c.loaded.Access.TLS {
+		peers.UseTLS()
+	}
 	list := platform.NewVMList(c.loaded.Platform.VMList, client)
-	return operator.NewFleet(list, peer.NewClient(client, peer.Keys{c.loaded.Access.Key}), c.loaded.Platform.Timeout), nil
+	return operator.NewFleet(list, peers, c.loaded.Platform.Timeout), nil
 }
 
 // hasFleet reports whether the fleet's processes can be reached.
--- a/quarantine/mark.go
+++ b/quarantine/mark.go
@@ -31,6 +31,11 @@
 	Quarantined
 )
 
+// String returns the state's name.
+func (s Status) String() string {
+	return [...]string{"clear", "suspect", "quarantined"}[s]
+}
+
 // Mark is what is held against one content. Marks of the same fingerprint
 // merge in any order to the same result.
 type Mark struct {
