--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -18,10 +18,11 @@
 	registry *prometheus.Registry
 }
 
-// NewMetrics returns a meter whose instruments are named under scope.
+// NewMetrics returns a meter. The names on the Prometheus page start with the
+// scope, for example quetzalglade_entry.
 func NewMetrics(scope string) (*Metrics, error) {
 	registry := prometheus.NewRegistry()
-	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo(), otelprom.WithoutTargetInfo())
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo(), otelprom.WithoutTargetInfo(), otelprom.WithNamespace(scope))
 	if err != nil {
 		return nil, errors.Wrap(err, "metrics exporter")
 	}
--- /dev/null
+++ b/telemetry/telemetry_test.go
@@ -0,0 +1,40 @@
+package telemetry
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestRecorder(t *testing.T) {
+	Convey("Decisions are logged as JSON lines, counted, and the latest kept in order", t, func() {
+		var log bytes.Buffer
+		metrics, err := NewMetrics("quetzalglade_test")
+		So(err, ShouldBeNil)
+		r := NewRecorder(NewLogger(&log, "test", "vm-1"), metrics, 3)
+		for i := range 5 {
+			r.Record(Decision{Kind: KindRoute, Request: fmt.Sprint("req-", i), Choice: "vm-2", Reason: "least_work"})
+		}
+		kept := r.Find(func(*Decision) bool { return true })
+		So(len(kept), ShouldEqual, 3)
+		So(kept[0].Request, ShouldEqual, "req-2")
+		So(kept[2].Request, ShouldEqual, "req-4")
+
+		lines := strings.Split(strings.TrimSpace(log.String()), "\n")
+		So(len(lines), ShouldEqual, 5)
+		var line map[string]any
+		So(json.Unmarshal([]byte(lines[0]), &line), ShouldBeNil)
+		So(line["request"], ShouldEqual, "req-0")
+		So(line["vm"], ShouldEqual, "vm-1")
+
+		w := httptest.NewRecorder()
+		metrics.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+		So(w.Body.String(), ShouldContainSubstring, `quetzalglade_test_decisions_total{kind="route",reason="least_work"} 5`)
+	})
+}
