--- a/agent/control.go
+++ b/agent/control.go
@@ -9,6 +9,7 @@
 	"github.com/quetzalglade/quetzalglade/decision"
 	"github.com/quetzalglade/quetzalglade/peer"
 	"github.com/quetzalglade/quetzalglade/result"
+	"github.com/quetzalglade/quetzalglade/target"
 )
 
 // state is the agent's control state. Only the control goroutine touches it.
@@ -19,6 +20,8 @@
 	draining bool
 	ready    bool
 	models   []string
+	// report is the engine's own, lagging account.
+	report target.LoadReport
 }
 
 // retirement remembers ended and revoked work, to recognise late messages.
@@ -40,6 +43,9 @@
 	// are all; nil for calls of plain services.
 	tokens func() (n int, complete bool)
 	began  bool
+	// reserved is set while the job only keeps room, granted once it has it.
+	reserved bool
+	granted  bool
 }
 
 // control is the goroutine that owns the state. Others send it functions.
@@ -143,6 +149,9 @@
 		Models:      c.state.models,
 		Load:        c.state.load(),
 	}
+	if a.plain != nil {
+		st.Load.CadenceMicros = a.cadence.value().Microseconds()
+	}
 	if cfg := a.configuration(); cfg != nil {
 		st.ConfigVersion = cfg.Version
 	}
@@ -169,6 +178,9 @@
 // offer returns nil if the queue accepts the job, else the refusal and its
 // reason, a stable word.
 func (s *state) offer(j *job, now time.Time) (refusal *result.Error, reason string) {
+	if s.takeOver(j) {
+		return nil, ""
+	}
 	if refusal := s.precheck(j); refusal != nil {
 		return refusal, refusal.Name
 	}
@@ -180,6 +192,7 @@
 	return nil, ""
 }
 
+// precheck refuses work that cannot be queued here at all.
 func (s *state) precheck(j *job) *result.Error {
 	if r, ok := s.retired[j.item.ID]; ok {
 		ran := result.RanNo
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -116,7 +116,7 @@
 func (g *generation) run(ctx context.Context) *result.Error {
 	var failure *result.Error
 	for range maxAttempts {
-		m, refusal := g.entry.route(g.request, g.work(), g.tried)
+		m, refusal := g.entry.routeBound(ctx, g.request, g.work(), g.tried)
 		if refusal != nil && failure == nil {
 			return refusal
 		}
@@ -129,7 +129,7 @@
 			return nil
 		}
 		failure = g.conclude(failure, next)
-		if !mayRetry(ctx, next) || !g.responder.Restart() {
+		if !mayRetry(ctx, next) || !g.entry.limits.mayRetry() || !g.responder.Restart() {
 			break
 		}
 		g.tried[m.VM.Name] = true
@@ -157,7 +157,8 @@
 func (g *generation) work() decision.Work {
 	return decision.Work{
 		Workspace: g.workspace.Name, Service: g.service.Name, Model: g.service.Model,
-		PromptTokens: caller.EstimateTokens(g.ask.Prompt), Priority: g.service.Priority,
+		PromptTokens: caller.EstimateTokens(g.ask.Prompt), MaxTokens: g.ask.MaxTokens, Priority: g.service.Priority,
+		Short: g.service.Short, Idempotent: true,
 	}
 }
 
@@ -175,7 +176,6 @@
 
 // attempt runs one generation at one target.
 func (g *generation) attempt(ctx context.Context, m *membership.Member) *result.Error {
-	defer g.entry.done(m.VM.Name)
 	id := peer.GenerationID(m.VM.Name, m.State.Incarnation, newID(""))
 	g.meta.Generation = id
 	attempt := g.message(id)
@@ -205,7 +205,7 @@
 
 func (g *generation) message(id string) *peer.Attempt {
 	return &peer.Attempt{
-		ID: newID("att-"), Request: g.id, Generation: id, Workspace: g.workspace.Name, Service: g.service.Name,
+		ID: g.attemptID("att-"), Request: g.id, Generation: id, Workspace: g.workspace.Name, Service: g.service.Name,
 		Model: g.service.Model, Adapter: g.service.Adapter, Priority: g.service.Priority, Weight: g.workspace.Weight,
 		Short: g.service.Short, Prompt: g.ask.Prompt, PromptTokens: caller.EstimateTokens(g.ask.Prompt),
 		MaxTokens: g.ask.MaxTokens, Seed: g.ask.Seed,
@@ -267,6 +267,7 @@
 }
 
 func (e *Entry) recordRefusal(req *request, failure *result.Error) {
+	e.limits.refused(req, failure)
 	d := telemetry.Decision{
 		Kind: telemetry.KindRefuse, Request: req.id, Workspace: req.workspace.Name, Generation: failure.GenerationID,
 		Choice: "answer with an error", Reason: failure.Name, Version: req.config.Version,
