Combine the execution states of both copies of a hedged call

Cause: when both copies failed, the state of the later failure was reported: 'ran: no' of one copy hid 'unknown' of the other. Found by reading; the checker is internal/faulttest TestTruth, which did not show it in its runs.

--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -37,6 +37,7 @@
 		late = timer.C
 	}
 	var last callResult
+	var known attempts
 	for copies > 0 {
 		select {
 		case last = <-results:
@@ -45,6 +46,7 @@
 				c.entry.limits.hedge(c.service.Name, func(h *decision.Hedger) { h.End(time.Since(started)) })
 				return last.reply, nil
 			}
+			known.note(last.failure.Ran)
 		case <-late:
 			late = nil
 			if c.sendSecond(ctx, m, tried, results) {
@@ -52,7 +54,7 @@
 			}
 		}
 	}
-	return nil, last.failure
+	return nil, last.failure.WithRan(known.verdict())
 }
 
 func (c *call) copyTo(ctx context.Context, m *membership.Member, id string, results chan<- callResult) {
