--- a/cmd/quetzalglade/load.go
+++ b/cmd/quetzalglade/load.go
@@ -10,7 +10,6 @@
 	"github.com/spf13/cobra"
 
 	"github.com/quetzalglade/quetzalglade/decision"
-	"github.com/quetzalglade/quetzalglade/internal/demo"
 	"github.com/quetzalglade/quetzalglade/internal/load"
 	"github.com/quetzalglade/quetzalglade/internal/standin"
 )
@@ -72,7 +71,7 @@
 	}
 	f.common(cmd)
 	cmd.Flags().StringSliceVar(&f.deployments, "deployments", []string{"pedalia", "pwani"}, "deployments to measure")
-	cmd.Flags().StringSliceVar(&f.policies, "policies", []string{"round_robin", "least_outstanding", "two_choices", "least_work"}, "routing policies, each with an optional admission variant: least_work+fixed, +no_memory, +no_gap, +no_short, +no_wait, +no_fair")
+	cmd.Flags().StringSliceVar(&f.policies, "policies", []string{"round_robin", "least_outstanding", "two_choices", "least_work"}, "routing policies")
 	cmd.Flags().IntVar(&f.seeds, "seeds", 3, "number of seeds, counted from --seed")
 	return cmd
 }
@@ -114,14 +113,8 @@
 	}
 	var out []load.Options
 	for _, p := range f.policies {
-		policy, variant, _ := strings.Cut(p, "+")
-		limits, err := admission(variant, f.opts.EngineSlots)
-		if err != nil {
-			return nil, err
-		}
 		o := f.opts
-		o.Deployment, o.Policy, o.Label = d, decision.Policy(policy), p
-		o.Adjust = func(fo *demo.Options) { fo.EngineLimits = limits }
+		o.Deployment, o.Policy, o.Label = d, decision.Policy(p), p
 		out = append(out, o)
 	}
 	return out, nil
