--- a/decision/queuefigures_test.go
+++ b/decision/queuefigures_test.go
@@ -223,3 +223,31 @@
 		}
 	}
 }
+
+// BenchmarkAdmit measures one decision of a crowded queue: 64 generations run,
+// 32 wait and memory holds them.
+func BenchmarkAdmit(b *testing.B) {
+	q := NewQueue(DefaultQueueLimits())
+	q.SetMemory(Memory{Blocks: 4096, BlockTokens: 16})
+	for _, j := range (benchLoad{seed: 99, duration: 200 * time.Second, perSec: steady(5)}).jobs(false) {
+		q.ledger.lengths.Observe(j.Service, j.Workspace, j.length)
+	}
+	for i := range 64 {
+		it := item(fmt.Sprint("r", i), func(it *Item) { it.Workspace = fmt.Sprint("w", i%10) })
+		q.Offer(it, t0)
+	}
+	for _, it := range q.Admit(t0) {
+		q.Progress(it.ID, 900)
+	}
+	q.SetMemory(Memory{Blocks: 2048, BlockTokens: 16})
+	for i := range 32 {
+		it := item(fmt.Sprint("q", i), func(it *Item) { it.Workspace = fmt.Sprint("w", i%10) })
+		q.Offer(it, t0)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if len(q.Admit(t0)) > 0 {
+			b.Fatal("memory does not hold the queue")
+		}
+	}
+}
