--- a/decision/queue.go
+++ b/decision/queue.go
@@ -108,7 +108,8 @@
 	rate    rate
 	arrived int64
 	hold    Hold
-	// stall is the time that the first held item is expected to wait for memory.
+	// stall is the time that the first held item is expected to wait for what
+	// holds it.
 	stall time.Duration
 }
 
@@ -164,7 +165,7 @@
 }
 
 // waitOf returns the time that the work ahead of it takes and, for long work,
-// the time that the first in line waits for memory.
+// the time that the first in line is held.
 func (q *Queue) waitOf(it *Item, now time.Time) time.Duration {
 	ahead := 0.0
 	for _, w := range q.waiting {
@@ -225,9 +226,7 @@
 		}
 		if hold := q.holds(it, demand); hold != HoldNone {
 			q.hold = hold
-			if hold == HoldMemory {
-				q.stall = time.Duration(q.ledger.stepsToFit(demand, it, q.ledger.bound(it, q.limits.ShortShare))) * q.speed.cadence
-			}
+			q.stall = q.stallOf(it, hold, demand)
 			kept = append(kept, it)
 			if it.Short || q.limits.ShortShare == 0 {
 				kept = append(kept, q.waiting[i+1:]...)
@@ -243,6 +242,21 @@
 	return out
 }
 
+// stallOf returns how long the first held item is expected to wait for what
+// holds it.
+func (q *Queue) stallOf(it *Item, hold Hold, demand *forecast) time.Duration {
+	switch hold {
+	case HoldMemory:
+		steps := q.ledger.stepsToFit(demand, it, q.ledger.bound(it, q.limits.ShortShare))
+		return time.Duration(steps) * q.speed.cadence
+	case HoldSlots:
+		over := len(q.running) - q.speed.slots()
+		return q.rate.wait(float64(max(over, 0)) * it.cost)
+	default:
+		return 0
+	}
+}
+
 // holds returns what keeps the item from starting.
 func (q *Queue) holds(it *Item, demand *forecast) Hold {
 	share := 1.0
