--- a/decision/queue.go
+++ b/decision/queue.go
@@ -91,6 +91,10 @@
 	HoldPace   Hold = "prompt_pace"
 )
 
+// shortSlotsKept is the least number of slots that are kept for short work,
+// where there are enough.
+const shortSlotsKept = 4.0
+
 // promptCost is the work of a prompt token relative to an output token.
 const promptCost = 0.05
 
@@ -259,16 +263,12 @@
 
 // holds returns what keeps the item from starting.
 func (q *Queue) holds(it *Item, demand *forecast) Hold {
-	share := 1.0
-	if !it.Short {
-		share -= q.limits.ShortShare
-	}
 	switch {
 	case len(q.running) == 0:
 		return HoldNone
-	case !q.hasSlot(it, share):
+	case !q.hasSlot(it):
 		return HoldSlots
-	case q.speed.credit <= 0:
+	case q.lacksPace(it):
 		return HoldPace
 	case demand != nil && !q.ledger.fits(demand, it, q.ledger.bound(it, q.limits.ShortShare)):
 		return HoldMemory
@@ -278,13 +278,24 @@
 
 // hasSlot reports whether concurrency allows the item. The slots kept for short
 // work are open to it even while the limit is below what runs.
-func (q *Queue) hasSlot(it *Item, share float64) bool {
-	slots := q.speed.slots()
-	if float64(len(q.running)) < share*float64(slots) {
-		return true
+func (q *Queue) hasSlot(it *Item) bool {
+	slots, kept := float64(q.speed.slots()), 0.0
+	if q.limits.ShortShare > 0 {
+		kept = max(q.limits.ShortShare*slots, min(shortSlotsKept, maxShortShare*slots))
+	}
+	if it.Short {
+		return len(q.running) < q.speed.slots() || (float64(q.short) < kept && len(q.running) < q.limits.Slots)
+	}
+	return float64(len(q.running)) < slots-kept
+}
+
+// lacksPace reports whether the item would lengthen the gap of a step that has
+// prompts enough. Short work may go one step ahead.
+func (q *Queue) lacksPace(it *Item) bool {
+	if it.Short {
+		return q.speed.credit <= -q.speed.pace
 	}
-	kept := q.limits.ShortShare * float64(slots)
-	return it.Short && float64(q.short) < kept && len(q.running) < q.limits.Slots
+	return q.speed.credit <= 0
 }
 
 func (q *Queue) start(it *Item, demand *forecast) {
