--- a/agent/agent.go
+++ b/agent/agent.go
@@ -64,6 +64,7 @@
 	metrics     *telemetry.Metrics
 	config      *configsync.Follower
 	control     *control
+	cadence     cadence
 	generations *table
 	gaps        gapMeter
 	once        *onceTable
--- a/entry/once.go
+++ b/entry/once.go
@@ -79,7 +79,6 @@
 			return o.withoutTarget(ctx, seen, refusal)
 		}
 		cur, v := o.round(ctx, m, seen)
-		o.entry.done(m.VM.Name)
 		if !v.again {
 			return v.reply, v.failure
 		}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -31,7 +31,7 @@
 		VMList       string        `ini:"vm_list" help:"URL of the platform's list of VMs"`
 	} `ini:"platform"`
 	Routing struct {
-		Policy string `ini:"policy" help:"round_robin, least_outstanding, two_choices or least_work"`
+		Policy string `ini:"policy" help:"round_robin, least_outstanding, two_choices, least_work or late_binding"`
 	} `ini:"routing"`
 	Claims struct {
 		Retention time.Duration `ini:"retention" help:"time for which the outcome of a call with a caller's key is kept"`
