--- a/decision/queue_test.go
+++ b/decision/queue_test.go
@@ -294,3 +294,26 @@
 		})
 	})
 }
+
+func TestHeavyWorkspaceIsRefusedFirst(t *testing.T) {
+	q := NewQueue(QueueLimits{Slots: 10, Length: 100, Fair: true, MaxWait: time.Second})
+	told := func(workspace string) func(*Item) {
+		return func(i *Item) { i.Workspace, i.Length, i.PromptTokens = workspace, 100, 0 }
+	}
+	for i := range 10 {
+		workspace := "heavy"
+		if i == 0 {
+			workspace = "light"
+		}
+		q.Offer(item(fmt.Sprint("r", i), told(workspace)), t0)
+	}
+	q.Admit(t0)
+	q.rate = rate{perSecond: 100, since: t0}
+	q.Offer(item("first", told("third")), t0)
+	if v := q.Offer(item("h", told("heavy")), t0); v.Accepted {
+		t.Fatalf("a workspace with nine tenths of the target waits as long as others")
+	}
+	if v := q.Offer(item("l", told("light")), t0); !v.Accepted {
+		t.Fatalf("a workspace with a tenth of the target is refused: %+v", v)
+	}
+}
--- a/decision/queuetargets_test.go
+++ b/decision/queuetargets_test.go
@@ -33,6 +33,9 @@
 		r, jobs := benchPlay("all", l, benchWarm)
 		alone = append(alone, r.figures(jobs, benchFrom, benchTo).short99)
 	}
+	t.Logf("preemptions %d of %d, stalled %v of %v, short p99 %v (alone %v), goodput %.2f of the engine's alone, %.2f of told",
+		all.preemptions, engine.preemptions, all.stall, engine.stall, all.short99, quantile(alone, 0.5),
+		all.goodput/engine.goodput, all.goodput/told.goodput)
 	if engine.preemptions < 100 {
 		t.Fatalf("the engine alone preempts %d times: the load tells nothing", engine.preemptions)
 	}
@@ -107,3 +110,35 @@
 		}
 	}
 }
+
+// TestAdmissionAtCrest checks the targets at a crest of twice the capacity:
+// throughput, short work as if uncrowded, refusals at once and recovery.
+func TestAdmissionAtCrest(t *testing.T) {
+	tokens, capacity := benchCapacity()
+	var goodput float64
+	var short, alone time.Duration
+	for seed := uint64(1); seed <= benchSeeds; seed++ {
+		l := crestLoad(seed, capacity)
+		r, jobs := benchPlay("all", l, benchWarm)
+		during := r.figures(jobs, crestStart, crestEnd)
+		goodput += during.goodput / benchSeeds
+		short += during.short99
+		if during.expired > 0 {
+			t.Errorf("seed %d: %d requests were accepted and refused later", seed, during.expired)
+		}
+		after := r.figures(jobs, crestQuiet, crestQuiet+20*time.Second)
+		if after.first95 > 450*time.Millisecond {
+			t.Errorf("seed %d: first token p95 is %v from 5 s after the crest on, target 450 ms", seed, after.first95)
+		}
+		l.shortOnly = true
+		r, jobs = benchPlay("all", l, benchWarm)
+		alone += r.figures(jobs, crestStart, crestEnd).short99
+	}
+	t.Logf("goodput %.2f of capacity, short p99 %.2f of that alone", goodput/tokens, ratio(short.Seconds(), alone.Seconds(), 0.001))
+	if goodput < 0.95*tokens {
+		t.Errorf("goodput %.0f tokens/s, target 0.95 of %.0f", goodput, tokens)
+	}
+	if r := ratio(short.Seconds(), alone.Seconds(), 0.001); r > 1.5 {
+		t.Errorf("short work's p99 wait is %.2f times that without long work, target 1.5", r)
+	}
+}
