--- a/agent/agent.go
+++ b/agent/agent.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/hex"
 	"net"
 	"sync"
@@ -24,6 +25,7 @@
 	"github.com/quetzalglade/quetzalglade/internal/httpserve"
 	"github.com/quetzalglade/quetzalglade/peer"
 	"github.com/quetzalglade/quetzalglade/platform"
+	"github.com/quetzalglade/quetzalglade/quarantine"
 	"github.com/quetzalglade/quetzalglade/target"
 	"github.com/quetzalglade/quetzalglade/telemetry"
 )
@@ -42,9 +44,18 @@
 	EngineURL string
 	PlainURL  string
 	Keys      peer.Keys
+	// OperatorKeys open drain, decisions, state and metrics to operators'
+	// tools; the fleet's keys do if there are none.
+	OperatorKeys peer.Keys
+	// TLS makes the messages to other processes use TLS with ClientTLS.
+	TLS       bool
+	ClientTLS *tls.Config
 	// Store holds the configuration; nil leaves the agent without one.
 	Store  platform.Store
 	Logger log.Logger
+	// Lengths tells the length of an answer from its prompt; nil leaves it
+	// unknown. Only measurements of what that knowledge is worth set it.
+	Lengths func(prompt string) int
 	// Limits bound the target's work; the zero value selects the defaults.
 	Limits decision.QueueLimits
 	// DrainGrace is how long a stopping agent answers other processes at
@@ -69,6 +80,8 @@
 	gaps        gapMeter
 	once        *onceTable
 	started     time.Time
+	solo        *soloGate
+	marks       *quarantine.Keeper
 	state       atomic.Pointer[peer.State]
 	work        sync.WaitGroup
 	// base is the context of work at the target; it outlives requests.
@@ -102,9 +115,11 @@
 		generations: newTable(),
 		once:        newOnceTable(),
 		started:     time.Now(),
+		solo:        newSoloGate(),
+		marks:       quarantine.NewKeeper(opts.Store, opts.Logger, false),
 	}
 	a.base, a.cancel = context.WithCancel(context.Background())
-	client := httpclient.New(httpclient.Options{IdlePerHost: opts.Limits.Slots})
+	client := httpclient.New(httpclient.Options{IdlePerHost: opts.Limits.Slots, TLS: opts.ClientTLS})
 	if opts.EngineURL != "" {
 		a.engine = target.NewEngine(opts.EngineURL, client)
 	} else {
@@ -178,6 +193,9 @@
 	if a.opts.Store != nil {
 		core.Add(a.config)
 	}
+	if a.opts.Store != nil {
+		core.Add(a.marks)
+	}
 	core.Add(httpserve.New("agent peers", a.opts.Listener, a.handler(), a.opts.DrainLimit))
 	coreCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
--- a/agent/run.go
+++ b/agent/run.go
@@ -30,7 +30,7 @@
 	ctx, cancel := context.WithTimeout(a.base, time.Duration(attempt.TimeoutMillis)*time.Millisecond)
 	defer cancel()
 	stopWatch := a.watchListeners(ctx, cancel, g, time.Duration(attempt.ResumeMillis)*time.Millisecond)
-	err := a.generate(ctx, g, attempt)
+	err := a.guard(ctx, g, attempt)
 	if err != nil {
 		a.cancelAtEngine(g.id)
 		g.finish(nil, engineFailure(ctx, err).ForGeneration(g.id, g.count()))
@@ -62,6 +62,7 @@
 			Kind: telemetry.KindResume, Request: attempt.Request, Attempt: attempt.ID, Generation: g.id,
 			Target: a.opts.VM, Choice: "resume at the engine", Reason: "engine_stream_broken",
 		})
+		a.solo.broken()
 		sleep(ctx, engineResumeDelay<<try)
 		err = a.engine.Resume(ctx, g.id, g.count(), each)
 	}
@@ -93,7 +94,10 @@
 // numbered error.
 func engineFailure(ctx context.Context, err error) *result.Error {
 	var refused *target.RefusedError
+	var refusal *result.Error
 	switch {
+	case errors.As(err, &refusal):
+		return refusal
 	case ctx.Err() != nil:
 		return result.New(result.DeadlineExceeded, result.RanYes, "the generation's time ran out")
 	case errors.As(err, &refused):
