--- a/decision/queue.go
+++ b/decision/queue.go
@@ -61,7 +61,7 @@
 func DefaultQueueLimits() QueueLimits {
 	return QueueLimits{
 		Slots: 128, Length: 1024, MaxWait: time.Second, TokenGap: 50 * time.Millisecond, ShortShare: 0.07,
-		AgeStep: 5 * time.Second, Fair: true, Memory: true, MemoryRisk: 1.5,
+		AgeStep: 5 * time.Second, Fair: true, Memory: true, MemoryRisk: 2,
 	}
 }
 
@@ -91,6 +91,10 @@
 	HoldPace   Hold = "prompt_pace"
 )
 
+// shortSlotsKept is the least number of slots that are kept for short work,
+// where there are enough.
+const shortSlotsKept = 4.0
+
 // promptCost is the work of a prompt token relative to an output token.
 const promptCost = 0.05
 
@@ -100,13 +104,16 @@
 	limits  QueueLimits
 	waiting []*Item
 	running map[string]*Item
+	// short is the number of running items that are short.
+	short   int
 	ledger  ledger
 	fair    fairness
 	speed   concurrency
 	rate    rate
 	arrived int64
 	hold    Hold
-	// stall is the time that the first held item is expected to wait for memory.
+	// stall is the time that the first held item is expected to wait for what
+	// holds it.
 	stall time.Duration
 }
 
@@ -132,14 +139,27 @@
 	if len(q.waiting) >= q.limits.Length {
 		return Verdict{Reason: ReasonFull, RetryAfter: retryAfter(it.ID, wait)}
 	}
-	if q.limits.MaxWait > 0 && wait > min(q.limits.MaxWait, it.Deadline.Sub(now)) {
+	if q.limits.MaxWait > 0 && wait > min(q.maxWait(it), it.Deadline.Sub(now)) {
 		return Verdict{Reason: ReasonExpectedWait, RetryAfter: retryAfter(it.ID, wait)}
 	}
 	q.fair.enter(it)
+	if it.Short {
+		q.ledger.observeShort(it.PromptTokens + int(it.cost))
+	}
 	q.waiting = append(q.waiting, it)
 	return Verdict{Accepted: true, Reason: ReasonQueued}
 }
 
+// maxWait returns the expected wait up to which the item is accepted. With
+// fairness, those who use more than their share of a crowded target are refused
+// first.
+func (q *Queue) maxWait(it *Item) time.Duration {
+	if !q.limits.Fair {
+		return q.limits.MaxWait
+	}
+	return time.Duration(float64(q.limits.MaxWait) / q.fair.excess(it))
+}
+
 func (q *Queue) expectedCost(it *Item) float64 {
 	output := float64(it.Length)
 	if it.Length == 0 {
@@ -149,7 +169,7 @@
 }
 
 // waitOf returns the time that the work ahead of it takes and, for long work,
-// the time that the first in line waits for memory.
+// the time that the first in line is held.
 func (q *Queue) waitOf(it *Item, now time.Time) time.Duration {
 	ahead := 0.0
 	for _, w := range q.waiting {
@@ -210,9 +230,7 @@
 		}
 		if hold := q.holds(it, demand); hold != HoldNone {
 			q.hold = hold
-			if hold == HoldMemory {
-				q.stall = time.Duration(q.ledger.stepsToFit(demand, it, 1-q.limits.ShortShare)) * q.speed.cadence
-			}
+			q.stall = q.stallOf(it, hold, demand)
 			kept = append(kept, it)
 			if it.Short || q.limits.ShortShare == 0 {
 				kept = append(kept, q.waiting[i+1:]...)
@@ -228,28 +246,63 @@
 	return out
 }
 
+// stallOf returns how long the first held item is expected to wait for what
+// holds it.
+func (q *Queue) stallOf(it *Item, hold Hold, demand *forecast) time.Duration {
+	switch hold {
+	case HoldMemory:
+		steps := q.ledger.stepsToFit(demand, it, q.ledger.bound(it, q.limits.ShortShare))
+		return time.Duration(steps) * q.speed.cadence
+	case HoldSlots:
+		over := len(q.running) - q.speed.slots()
+		return q.rate.wait(float64(max(over, 0)) * it.cost)
+	default:
+		return 0
+	}
+}
+
 // holds returns what keeps the item from starting.
 func (q *Queue) holds(it *Item, demand *forecast) Hold {
-	share := 1.0
-	if !it.Short {
-		share -= q.limits.ShortShare
-	}
-	running := len(q.running)
 	switch {
-	case running == 0:
+	case len(q.running) == 0:
 		return HoldNone
-	case float64(running) >= share*float64(q.speed.slots()):
+	case !q.hasSlot(it):
 		return HoldSlots
-	case q.speed.credit <= 0:
+	case q.lacksPace(it):
 		return HoldPace
-	case demand != nil && !q.ledger.fits(demand, it, share):
+	case demand != nil && !q.ledger.fits(demand, it, q.ledger.bound(it, q.limits.ShortShare)):
 		return HoldMemory
 	}
 	return HoldNone
 }
 
+// hasSlot reports whether concurrency allows the item. The slots kept for short
+// work are open to it even while the limit is below what runs.
+func (q *Queue) hasSlot(it *Item) bool {
+	slots, kept := float64(q.speed.slots()), 0.0
+	if q.limits.ShortShare > 0 {
+		kept = max(q.limits.ShortShare*slots, min(shortSlotsKept, maxShortShare*slots))
+	}
+	if it.Short {
+		return len(q.running) < q.speed.slots() || (float64(q.short) < kept && len(q.running) < q.limits.Slots)
+	}
+	return float64(len(q.running)) < slots-kept
+}
+
+// lacksPace reports whether the item would lengthen the gap of a step that has
+// prompts enough. Short work may go one step ahead.
+func (q *Queue) lacksPace(it *Item) bool {
+	if it.Short {
+		return q.speed.credit <= -q.speed.pace
+	}
+	return q.speed.credit <= 0
+}
+
 func (q *Queue) start(it *Item, demand *forecast) {
 	q.running[it.ID] = it
+	if it.Short {
+		q.short++
+	}
 	q.speed.credit -= float64(it.PromptTokens)
 	q.rate.add(promptCost * float64(it.PromptTokens))
 	q.fair.admit(it)
@@ -272,7 +325,8 @@
 // several times a second with the gaps since the last call.
 func (q *Queue) Tick(g Gaps, now time.Time) {
 	q.rate.roll(now, len(q.waiting) > 0)
-	q.speed.observe(g, q.hold == HoldSlots)
+	q.fair.roll(now)
+	q.speed.observe(g, len(q.running), q.hold == HoldSlots)
 }
 
 // Finish takes a complete item out and learns from it.
@@ -284,7 +338,15 @@
 	q.Progress(id, tokens)
 	q.ledger.lengths.Observe(it.Service, it.Workspace, tokens)
 	q.fair.settle(it, float64(tokens)+promptCost*float64(it.PromptTokens))
-	delete(q.running, id)
+	q.leave(it)
+}
+
+// leave takes an item out of the running set.
+func (q *Queue) leave(it *Item) {
+	delete(q.running, it.ID)
+	if it.Short {
+		q.short--
+	}
 }
 
 // Expired removes and returns the items whose deadline has passed.
@@ -308,7 +370,7 @@
 func (q *Queue) Remove(id string) (running bool) {
 	if it, ok := q.running[id]; ok {
 		q.fair.settle(it, float64(it.tokens))
-		delete(q.running, id)
+		q.leave(it)
 		return true
 	}
 	for i, it := range q.waiting {
@@ -332,32 +394,3 @@
 
 // Hold returns what kept work waiting at the last Admit.
 func (q *Queue) Hold() Hold { return q.hold }
-
-// Account is a queue's summary for routers.
-type Account struct {
-	QueuedPrompt int
-	UsedTokens   int
-	TotalTokens  int
-	Cadence      time.Duration
-	// Wait and ShortWait are the expected waits of new long and short work.
-	Wait      time.Duration
-	ShortWait time.Duration
-}
-
-// Account returns the summary.
-func (q *Queue) Account() Account {
-	a := Account{
-		UsedTokens: q.ledger.used(q.running), TotalTokens: q.ledger.memory.Blocks * q.ledger.memory.BlockTokens,
-		Cadence: q.speed.cadence,
-	}
-	short, all := 0.0, 0.0
-	for _, it := range q.waiting {
-		a.QueuedPrompt += it.PromptTokens
-		all += it.cost
-		if it.Short {
-			short += it.cost
-		}
-	}
-	a.Wait, a.ShortWait = q.rate.wait(all)+q.stall, q.rate.wait(short)
-	return a
-}
