Compare targets by name in the restart test

Cause: goconvey rendered the compared pointers while the engines ran (data race in the test), and the test looked for the busy target twice. As strict as before: the same two targets are told apart by their VM's name.

--- a/internal/faulttest/replay_test.go
+++ b/internal/faulttest/replay_test.go
@@ -106,6 +106,16 @@
 	}
 }
 
+// awaitTarget polls until find returns a target.
+func awaitTarget(find func() *target) *target {
+	for {
+		if tg := find(); tg != nil {
+			return tg
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // TestRestartBeforeFirstToken loses the target before anything was delivered.
 func TestRestartBeforeFirstToken(t *testing.T) {
 	engine := fastEngine()
@@ -125,10 +135,11 @@
 		crash := make(chan struct{})
 		go func() {
 			defer close(crash)
-			for busy() == nil || busy().engine.Stats().Tokens < 20 {
+			tg := awaitTarget(busy)
+			for tg.engine.Stats().Tokens < 20 {
 				time.Sleep(time.Millisecond)
 			}
-			busy().engine.Crash()
+			tg.engine.Crash()
 		}()
 		a := generateWhole(ctx, f.entries[0].addr, "guide", prompt("whole", 100))
 		<-crash
@@ -145,10 +156,7 @@
 		}
 		first := make(chan *target, 1)
 		go func() {
-			for busy() == nil {
-				time.Sleep(time.Millisecond)
-			}
-			chosen := busy()
+			chosen := awaitTarget(busy)
 			for tg, remove := range heal {
 				if tg != chosen {
 					remove()
@@ -161,7 +169,7 @@
 		So(a.complete, ShouldBeTrue)
 		So(a.text, ShouldEqual, f.output(a.generation))
 		chosen := <-first
-		So(f.holder(a.generation), ShouldNotEqual, chosen)
+		So(f.holder(a.generation).vm.Name, ShouldNotEqual, chosen.vm.Name)
 		eventually(t, answerWait, "the generation is cancelled", func() bool { return chosen.engine.Stats().Cancelled == 1 })
 		heal[chosen]()
 	})
