--- a/agent/server.go
+++ b/agent/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/quetzalglade/quetzalglade/decision"
 	"github.com/quetzalglade/quetzalglade/peer"
+	"github.com/quetzalglade/quetzalglade/quarantine"
 	"github.com/quetzalglade/quetzalglade/result"
 	"github.com/quetzalglade/quetzalglade/telemetry"
 )
@@ -108,17 +109,27 @@
 
 // begin queues an attempt and returns its buffer.
 func (a *Agent) begin(attempt *peer.Attempt) (*generation, *result.Error) {
+	if attempt.Mark != nil {
+		a.marks.Merge(*attempt.Mark)
+	}
+	if a.marks.Status(attempt.Fingerprint, time.Now()) == quarantine.Quarantined {
+		return nil, errQuarantined()
+	}
 	g := newGeneration(attempt, &a.gaps)
 	if held := a.generations.put(g); held != nil {
 		return nil, result.New(result.AttemptRevoked, result.RanUnknown, "the generation exists")
 	}
 	now := time.Now()
+	length := 0
+	if a.opts.Lengths != nil {
+		length = a.opts.Lengths(attempt.Prompt)
+	}
 	j := &job{
 		request: attempt.Request,
 		item: &decision.Item{
 			ID: attempt.ID, Workspace: attempt.Workspace, Service: attempt.Service,
 			Priority: attempt.Priority, Weight: attempt.Weight, Short: attempt.Short,
-			PromptTokens: attempt.PromptTokens, MaxTokens: attempt.MaxTokens,
+			PromptTokens: attempt.PromptTokens, MaxTokens: attempt.MaxTokens, Length: length,
 			Arrived: now, Deadline: now.Add(time.Duration(attempt.QueueMillis) * time.Millisecond),
 		},
 		admit: func() {
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -38,7 +38,9 @@
 	meta      *caller.Meta
 	responder caller.Responder
 	tried     map[string]bool
-	attempts  attempts
+	// fingerprint identifies the content.
+	fingerprint string
+	attempts    attempts
 	// seeded is set if a second run can be compared with the first.
 	seeded bool
 }
@@ -49,6 +51,11 @@
 		result.Write(w, refusal)
 		return
 	}
+	if refusal := e.limits.enter(req); refusal != nil {
+		result.Write(w, refusal)
+		return
+	}
+	defer e.limits.leave(req)
 	g, refusal := e.newGeneration(w, r, req, chat)
 	if refusal != nil {
 		w.Header().Set(caller.HeaderRequestID, req.id)
@@ -86,6 +93,7 @@
 	}
 	meta := &caller.Meta{Request: req.id, Service: ask.Service, Chat: chat}
 	g := &generation{request: req, entry: e, ask: ask, meta: meta, tried: map[string]bool{}}
+	g.fingerprint = fingerprint(req.workspace.Name, req.service.Name, ask.Prompt)
 	switch {
 	case !ask.Stream:
 		g.responder = caller.NewWhole(w, meta)
@@ -116,7 +124,7 @@
 func (g *generation) run(ctx context.Context) *result.Error {
 	var failure *result.Error
 	for range maxAttempts {
-		m, refusal := g.entry.routeBound(ctx, g.request, g.work(), g.tried)
+		m, refusal := g.choose(ctx)
 		if refusal != nil && failure == nil {
 			return refusal
 		}
@@ -129,6 +137,7 @@
 			return nil
 		}
 		failure = g.conclude(failure, next)
+		g.learn(ctx, m, next)
 		if !mayRetry(ctx, next) || !g.entry.limits.mayRetry() || !g.responder.Restart() {
 			break
 		}
@@ -145,10 +154,10 @@
 		return next
 	}
 	switch next.Code {
-	case result.ReplayDiverged, result.Cancelled, result.DeadlineExceeded:
+	case result.ReplayDiverged, result.Cancelled, result.DeadlineExceeded, result.Quarantined:
 		return next
 	}
-	if next.Code == result.NoTarget || g.responder.Delivered() > 0 {
+	if next.Code == result.NoTarget || g.responder.Delivered() > 0 || earlier.Delivered > 0 {
 		return earlier
 	}
 	return next
@@ -210,7 +219,7 @@
 		Short: g.service.Short, Prompt: g.ask.Prompt, PromptTokens: caller.EstimateTokens(g.ask.Prompt),
 		MaxTokens: g.ask.MaxTokens, Seed: g.ask.Seed,
 		QueueMillis: g.service.QueueMillis, ResumeMillis: g.service.ResumeMillis, TimeoutMillis: g.service.TimeoutMillis,
-		Fingerprint: fingerprint(g.workspace.Name, g.service.Name, g.ask.Prompt), ConfigVersion: g.config.Version,
+		Fingerprint: g.fingerprint, ConfigVersion: g.config.Version, Mark: g.entry.marks.Get(g.fingerprint, time.Now()),
 	}
 }
 
@@ -267,7 +276,6 @@
 }
 
 func (e *Entry) recordRefusal(req *request, failure *result.Error) {
-	e.limits.refused(req, failure)
 	d := telemetry.Decision{
 		Kind: telemetry.KindRefuse, Request: req.id, Workspace: req.workspace.Name, Generation: failure.GenerationID,
 		Choice: "answer with an error", Reason: failure.Name, Version: req.config.Version,
--- a/entry/server.go
+++ b/entry/server.go
@@ -26,6 +26,7 @@
 	mux.HandleFunc("/s/{service}/{path...}", e.handleCall)
 	peers := http.NewServeMux()
 	e.config.Register(peers)
+	peers.HandleFunc("POST "+peer.PathMarks, e.handleMarks)
 	mux.Handle("/peer/", e.opts.Keys.Require(peer.Exchange(e.config, peers)))
 	operators := e.opts.Keys.Operators(e.opts.OperatorKeys)
 	all := slices.Concat(e.opts.Keys, operators)
