Wait for the entry's readiness in the access test

Cause: the test waited for a usable target but not for the configuration, so that its first request could be refused with 503 (seen once).

--- a/entry/access_test.go
+++ b/entry/access_test.go
@@ -10,6 +10,7 @@
 	"crypto/x509/pkix"
 	"encoding/pem"
 	"fmt"
+	"io"
 	"math/big"
 	"net"
 	"net/http"
@@ -139,7 +140,7 @@
 	vms.Put(platform.VM{Name: "model-1", Addr: f.agentAddr, Role: platform.RoleTarget, State: platform.VMLive, Datacentre: "c1", Region: "central"})
 	e := startEntry(t, "[process]\nvm = entry-1\nkeys = old, new\nbalancer_grace = 1ms\n"+processSettings+section+
 		"vm_list = "+ca.serve(t, vms.Handler())+"\n", &f.entryAddr)
-	for e.UsableTargets() == 0 && ctx.Err() == nil {
+	for (!e.Ready() || e.UsableTargets() == 0) && ctx.Err() == nil {
 		time.Sleep(10 * time.Millisecond)
 	}
 	return f
@@ -184,6 +185,8 @@
 		resp, err := f.client.Do(req)
 		So(err, ShouldBeNil)
 		defer func() { _ = resp.Body.Close() }()
+		text, _ := io.ReadAll(resp.Body)
+		So(string(text), ShouldNotContainSubstring, "\"error\"")
 		So(resp.StatusCode, ShouldEqual, http.StatusOK)
 	})
 	Convey("Both keys of the rotation are accepted, others are not", t, func() {
