Bind late only long work whose best target makes it wait

Cause: reservations for all work cost short work a round trip. A free target needs no reservation either.

--- a/decision/routelate.go
+++ b/decision/routelate.go
@@ -27,6 +27,12 @@
 	return ProbeLimits{Count: 3, Patience: 5 * time.Millisecond, Crossing: 60 * time.Millisecond}
 }
 
+// Binds reports whether work is bound late: only long work, and only if even
+// the best target makes it wait, so that a free fleet costs no round trip.
+func (r *Router) Binds(w Work, best *Target, limits ProbeLimits) bool {
+	return r.policy == PolicyLateBinding && !w.Short && (best.Wait > limits.Patience || best.Queued > 0)
+}
+
 // Probes plans the reservations of a request from the best target on. Targets
 // of another region are asked after those at home have had the time of a
 // crossing; if there is no target at home they are asked at once.
--- a/decision/routing_test.go
+++ b/decision/routing_test.go
@@ -104,6 +104,27 @@
 	})
 }
 
+func TestOnlyWaitingLongWorkIsBoundLate(t *testing.T) {
+	limits := DefaultProbeLimits()
+	cases := []struct {
+		policy Policy
+		work   Work
+		best   Target
+		want   bool
+	}{
+		{PolicyLateBinding, Work{}, Target{Running: 9}, false},
+		{PolicyLateBinding, Work{}, Target{Wait: 2 * limits.Patience}, true},
+		{PolicyLateBinding, Work{}, Target{Queued: 1}, true},
+		{PolicyLateBinding, Work{Short: true}, Target{Queued: 1}, false},
+		{PolicyLeastWork, Work{}, Target{Queued: 1}, false},
+	}
+	for i, c := range cases {
+		if got := NewRouter(c.policy, "one", "home").Binds(c.work, &c.best, limits); got != c.want {
+			t.Errorf("case %d: binds late: %v", i, got)
+		}
+	}
+}
+
 var epoch = time.Unix(1_700_000_000, 0)
 
 func TestSlowDetector(t *testing.T) {
--- a/entry/route.go
+++ b/entry/route.go
@@ -30,24 +30,29 @@
 	if refusal != nil {
 		return nil, refusal
 	}
+	return e.dispatchTo(r), nil
+}
+
+// dispatchTo takes the best target at once.
+func (e *Entry) dispatchTo(r *routing) *membership.Member {
 	best := r.choice.Order[0]
 	r.candidates[best].account.sent.Add(1)
-	e.spendPrompt(r.candidates[best], work.PromptTokens)
+	e.spendPrompt(r.candidates[best], r.work.PromptTokens)
 	e.recordRoute(r, best)
-	return r.candidates[best].member, nil
+	return r.candidates[best].member
 }
 
 // routeBound chooses like route. With late binding it returns once a target has
 // granted a reservation, under whose id the attempt is then to be sent.
 func (e *Entry) routeBound(ctx context.Context, req *request, work decision.Work, tried map[string]bool) (*membership.Member, *result.Error) {
 	req.reservation = ""
-	if e.router.Policy() != decision.PolicyLateBinding {
-		return e.route(req, work, tried)
-	}
 	r, refusal := e.order(req, work, tried)
 	if refusal != nil {
 		return nil, refusal
 	}
+	if !e.router.Binds(work, &r.targets[r.choice.Order[0]], e.opts.Probes) {
+		return e.dispatchTo(r), nil
+	}
 	return e.bind(ctx, r)
 }
 
