--- a/membership/member.go
+++ b/membership/member.go
@@ -36,6 +36,11 @@
 	PhaseGone
 )
 
+// String returns the phase's name.
+func (p Phase) String() string {
+	return [...]string{"unknown", "live", "leaving", "gone"}[p]
+}
+
 // Phase returns the phase of the member at the given time.
 func (m *Member) Phase(now time.Time) Phase {
 	switch {
--- a/membership/subset.go
+++ b/membership/subset.go
@@ -114,6 +114,7 @@
 // some of the targets outside it.
 func (t *Tracker) upkeep(ctx context.Context, now time.Time) {
 	for name, m := range t.members {
+		t.logPhase(m, now)
 		gone := !m.delisted.IsZero() && now.Sub(m.delisted) > forgetPeriod && m.Phase(now) != PhaseLeaving
 		if gone {
 			t.drop(m)
@@ -131,6 +132,17 @@
 	t.survey(ctx, now)
 }
 
+// logPhase logs the change of a target's phase, for targets in the subset.
+func (t *Tracker) logPhase(m *member, now time.Time) {
+	phase := m.Phase(now)
+	if m.stop == nil || phase == m.phase {
+		return
+	}
+	m.phase = phase
+	telemetry.Info(t.opts.Logger, "target "+phase.String(), "target", m.VM.Name, "silent_ms", now.Sub(m.Heard).Milliseconds(),
+		"limit_ms", m.Silence.Milliseconds(), "broken", m.Broken)
+}
+
 // choose opens heartbeat streams to the targets of the subset and closes those
 // to others.
 func (t *Tracker) choose(ctx context.Context, now time.Time) {
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -76,6 +76,8 @@
 	// surveyed is when a target outside the subset was last asked.
 	surveyed time.Time
 	shown    time.Time
+	// phase is the phase that was last logged.
+	phase Phase
 	// delisted is when the list ceased to have the VM.
 	delisted time.Time
 }
