Read the VM list through one entry of each region and cover targets once

The VM list, read whole every second, made most of the bytes; choosing the subset again at every answer of a surveyed target much of the processor time.

Change: one entry of each region reads the list, others ask it with the digest that they have; entity tags spare unchanged lists; coverage is computed once for a list; heartbeats are spaced by 32 ms in place of 16.

Also found: a process that shows a version without yielding it was asked in a loop without a pause; the new test failed to build a bound before and passes. Loads that come with replies go to the tracker.

--- a/agent/server.go
+++ b/agent/server.go
@@ -169,6 +169,10 @@
 	admitted := false
 	for {
 		frame, last := g.read(from)
+		if last || frame.Admitted != admitted {
+			load := a.State().Load
+			frame.Load = &load
+		}
 		fresh := len(frame.Tokens) > 0 || last || frame.Admitted != admitted
 		if fresh && !send(rc, enc, &frame) {
 			return
--- a/configsync/follower.go
+++ b/configsync/follower.go
@@ -48,7 +48,10 @@
 	opts    Options
 	current atomic.Pointer[snapshot]
 	shown   chan shown
+	// failing are watchers that did not answer, vain are processes that showed
+	// a version without yielding it.
 	failing *suspects
+	vain    *suspects
 
 	mu sync.Mutex
 	// refused is the highest version that could not be built.
@@ -80,7 +83,7 @@
 		opts.Logger = log.NewNopLogger()
 	}
 	return &Follower{
-		opts: opts, shown: make(chan shown, shownBacklog), changed: make(chan struct{}), failing: newSuspects(),
+		opts: opts, shown: make(chan shown, shownBacklog), changed: make(chan struct{}), failing: newSuspects(suspectPeriod), vain: newSuspects(vainPeriod),
 	}
 }
 
@@ -104,7 +107,7 @@
 
 // Saw implements peer.Versions: the version is fetched from addr soon.
 func (f *Follower) Saw(version int64, addr string) {
-	if version <= f.Version() {
+	if version <= f.Version() || f.vain.has(addr, time.Now()) {
 		return
 	}
 	select {
@@ -137,16 +140,23 @@
 		case <-ctx.Done():
 			return
 		case s := <-f.shown:
-			if s.version <= f.Version() || s.version <= f.refusedVersion() || f.opts.Peers == nil {
-				continue
-			}
-			if err := f.fetchFrom(ctx, s.addr, 0); err != nil && ctx.Err() == nil {
-				telemetry.Warn(f.opts.Logger, "configuration not fetched", "peer", s.addr, "config_version", s.version, "err", err)
-			}
+			f.fetch(ctx, s)
 		}
 	}
 }
 
+func (f *Follower) fetch(ctx context.Context, s shown) {
+	if s.version <= f.Version() || s.version <= f.refusedVersion() || f.opts.Peers == nil || f.vain.has(s.addr, time.Now()) {
+		return
+	}
+	err := f.fetchFrom(ctx, s.addr, 0)
+	if f.Version() >= s.version || ctx.Err() != nil {
+		return
+	}
+	f.vain.add(s.addr, time.Now())
+	telemetry.Warn(f.opts.Logger, "configuration not fetched", "peer", s.addr, "config_version", s.version, "err", err)
+}
+
 // fetchFrom adopts the version of the process at addr. It waits there for a
 // higher one, at most for the given time.
 func (f *Follower) fetchFrom(ctx context.Context, addr string, wait time.Duration) error {
--- a/configsync/follower_test.go
+++ b/configsync/follower_test.go
@@ -241,6 +241,36 @@
 	})
 }
 
+// vainPeers show a version that they do not yield, with every answer.
+type vainPeers struct {
+	follower *Follower
+	asked    atomic.Int64
+}
+
+func (p *vainPeers) Config(_ context.Context, addr string, _ int64, _ time.Duration) (peer.Manifest, error) {
+	p.asked.Add(1)
+	p.follower.Saw(9, addr)
+	return peer.Manifest{Version: 9}, nil
+}
+
+func (p *vainPeers) Documents(context.Context, string, []string) ([][]byte, error) { return nil, nil }
+
+func TestVersionShownInVain(t *testing.T) {
+	Convey("A process that shows a version without yielding it is not asked all the time", t, func() {
+		peers := &vainPeers{}
+		peers.follower = New(Options{Peers: peers})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go peers.follower.fetchShown(ctx)
+		peers.follower.Saw(9, "10.0.0.1:1")
+		for peers.asked.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(vainPeriod / 2)
+		So(peers.asked.Load(), ShouldEqual, 1)
+	})
+}
+
 // stalledStore has a watch that never reports anything.
 type stalledStore struct{ platform.Store }
 
--- a/configsync/keep.go
+++ b/configsync/keep.go
@@ -26,7 +26,10 @@
 	peerTimeout = 1500 * time.Millisecond
 	// suspectPeriod is how long a watcher that did not answer is passed over.
 	suspectPeriod = 10 * time.Second
-	retryDelay    = 500 * time.Millisecond
+	// vainPeriod is how long a process that showed a version without yielding
+	// it is not asked again.
+	vainPeriod = time.Second
+	retryDelay = 500 * time.Millisecond
 	// silentStart is how long a process without a VM list waits for a message
 	// before it reads the store itself.
 	silentStart = 5 * time.Second
@@ -239,13 +242,16 @@
 	<-ctx.Done()
 }
 
-// suspects remembers addresses that did not answer.
+// suspects remembers for a period addresses that were asked in vain.
 type suspects struct {
-	mu    sync.Mutex
-	since map[string]time.Time
+	period time.Duration
+	mu     sync.Mutex
+	since  map[string]time.Time
 }
 
-func newSuspects() *suspects { return &suspects{since: map[string]time.Time{}} }
+func newSuspects(period time.Duration) *suspects {
+	return &suspects{period: period, since: map[string]time.Time{}}
+}
 
 func (s *suspects) add(addr string, now time.Time) {
 	s.mu.Lock()
@@ -257,7 +263,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at, ok := s.since[addr]
-	if ok && now.Sub(at) > suspectPeriod {
+	if ok && now.Sub(at) > s.period {
 		delete(s.since, addr)
 		return false
 	}
--- a/decision/subset.go
+++ b/decision/subset.go
@@ -40,6 +40,8 @@
 	Place
 	// Unusable is set while the target is known not to take work.
 	Unusable bool
+	// Covered is set if the process is one of those that cover the target.
+	Covered bool
 }
 
 // Subset returns the indexes of those targets of one group that a process
@@ -48,9 +50,11 @@
 // processes near it, and each process takes the nearest targets by rendezvous
 // until enough of them are usable. The size does not grow with the fleet as
 // long as processes and targets grow together.
-func Subset(self Place, processes []Place, targets []Candidate) []int {
+func Subset(self Place, targets []Candidate) []int {
 	chosen := make([]bool, len(targets))
-	takeCovered(&self, processes, targets, chosen)
+	for i := range targets {
+		chosen[i] = targets[i].Covered
+	}
 	takeNearest(&self, targets, chosen)
 	var out []int
 	for i, ok := range chosen {
@@ -61,15 +65,6 @@
 	return out
 }
 
-// takeCovered chooses the targets that have self among their processes.
-func takeCovered(self *Place, processes []Place, targets []Candidate, chosen []bool) {
-	for i := range targets {
-		if Covers(self, processes, &targets[i].Place) {
-			chosen[i] = true
-		}
-	}
-}
-
 // Covers reports whether self is one of the processes that cover the target.
 func Covers(self *Place, processes []Place, target *Place) bool {
 	own := weight(target.VM, self.VM)
--- a/entry/call.go
+++ b/entry/call.go
@@ -126,6 +126,9 @@
 	limit, cancel := context.WithTimeout(ctx, c.service.QueueLimit()+c.service.Timeout())
 	defer cancel()
 	reply, err := c.entry.peers.Call(limit, m.VM.Addr, &msg)
+	if err == nil && reply.Load != nil {
+		c.entry.members.Report(m.VM.Name, msg.Incarnation, *reply.Load)
+	}
 	var refusal *result.Error
 	switch {
 	case err == nil && reply.ID != msg.ID:
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -120,6 +120,7 @@
 }
 
 func (e *Entry) deliver(rl *relay, f *peer.Frame) error {
+	e.reportLoad(rl.generation, f.Load)
 	r := rl.responder
 	before := r.Delivered()
 	if f.Offset > r.Delivered() {
--- a/entry/server.go
+++ b/entry/server.go
@@ -26,6 +26,7 @@
 	peers := http.NewServeMux()
 	peers.HandleFunc("GET "+peer.PathState, e.handleState)
 	peers.HandleFunc("GET "+peer.PathDecisions, e.handleDecisions)
+	peers.HandleFunc("GET "+peer.PathVMs, e.handleVMs)
 	e.config.Register(peers)
 	mux.Handle("/peer/", e.opts.Keys.Require(peer.Exchange(e.config, peers)))
 	mux.Handle("GET /metrics", e.metrics.Handler())
--- a/internal/standin/vmlist.go
+++ b/internal/standin/vmlist.go
@@ -1,11 +1,15 @@
 package standin
 
 import (
+	"encoding/json"
 	"net/http"
 	"sort"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/quetzalglade/quetzalglade/platform"
 )
 
@@ -55,7 +59,7 @@
 	return mux
 }
 
-func (l *VMList) handleList(w http.ResponseWriter, _ *http.Request) {
+func (l *VMList) handleList(w http.ResponseWriter, r *http.Request) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.settle(time.Now())
@@ -70,7 +74,19 @@
 		})
 	}
 	sort.Slice(groups, func(i, j int) bool { return groups[i].Labels[platform.LabelVM] < groups[j].Labels[platform.LabelVM] })
-	writeJSON(w, groups)
+	data, err := json.Marshal(groups)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := strconv.Quote(strconv.FormatUint(xxhash.Sum64(data), 16))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(data)
 }
 
 func (l *VMList) settle(now time.Time) {
--- a/membership/subset.go
+++ b/membership/subset.go
@@ -37,7 +37,7 @@
 		return
 	}
 	t.reading = vms
-	t.vms.Store(&vms)
+	t.vms.Store(&reading{vms: vms, digest: peer.DigestVMs(vms)})
 	t.stale = true
 	t.listed = map[string]platform.VM{}
 	t.places = nil
@@ -51,6 +51,19 @@
 		}
 	}
 	t.delist(now)
+	t.cover()
+}
+
+// cover finds the targets that this process is one of those to cover.
+func (t *Tracker) cover() {
+	self := t.opts.Self
+	if !slices.ContainsFunc(t.places, func(p decision.Place) bool { return p.VM == self.VM }) {
+		t.places = append(t.places, self)
+	}
+	for _, m := range t.members {
+		target := place(m.VM)
+		m.covered = decision.Covers(&self, t.places, &target)
+	}
 }
 
 func place(vm platform.VM) decision.Place {
@@ -115,6 +128,10 @@
 func (t *Tracker) upkeep(ctx context.Context, now time.Time) {
 	for name, m := range t.members {
 		t.logPhase(m, now)
+		if m.stop != nil && m.unusable(now) != m.judged {
+			m.judged = m.unusable(now)
+			t.stale = true
+		}
 		gone := !m.delisted.IsZero() && now.Sub(m.delisted) > forgetPeriod && m.Phase(now) != PhaseLeaving
 		if gone {
 			t.drop(m)
@@ -122,8 +139,10 @@
 			delete(t.listed, name)
 			t.stale = true
 		}
-		if m.stop != nil && m.Phase(now) == PhaseGone {
-			t.stale = true
+		if m.stop != nil && !m.unwanted.IsZero() && now.Sub(m.unwanted) > lingerPeriod {
+			m.stop()
+			m.stop = nil
+			t.dirty = true
 		}
 	}
 	if t.stale {
@@ -148,28 +167,19 @@
 func (t *Tracker) choose(ctx context.Context, now time.Time) {
 	t.stale = false
 	t.dirty = true
-	for name := range t.wanted(now) {
-		t.members[name].wanted = now
-	}
-	active := 0
-	for _, m := range t.members {
-		if now.Sub(m.wanted) <= lingerPeriod {
-			active++
-		}
-	}
-	period := min(max(time.Duration(active)*beatSpacing, minBeatPeriod), maxBeatPeriod)
-	for _, m := range t.members {
-		linger := now.Sub(m.wanted) <= lingerPeriod
+	wanted := t.wanted(now)
+	period := min(max(time.Duration(len(wanted))*beatSpacing, minBeatPeriod), maxBeatPeriod)
+	for name, m := range t.members {
 		switch {
-		case linger && m.stop == nil:
+		case wanted[name] && m.stop == nil:
 			listening, stop := context.WithCancel(ctx)
 			m.stop = stop
 			go t.listen(listening, m.VM.Name, m.VM.Addr, period)
-		case !linger && m.stop != nil:
-			m.stop()
-			m.stop = nil
-		case linger && m.wanted != now:
-			t.stale = true
+			m.unwanted = time.Time{}
+		case wanted[name]:
+			m.unwanted = time.Time{}
+		case m.unwanted.IsZero():
+			m.unwanted = now
 		}
 	}
 }
@@ -183,17 +193,13 @@
 			names[name] = true
 			continue
 		}
-		candidate := decision.Candidate{Place: place(m.VM), Unusable: m.unusable(now)}
+		candidate := decision.Candidate{Place: place(m.VM), Unusable: m.unusable(now), Covered: m.covered}
 		for _, g := range groupsOf(&m.State) {
 			groups[g] = append(groups[g], candidate)
 		}
 	}
-	processes := t.places
-	if !slices.ContainsFunc(processes, func(p decision.Place) bool { return p.VM == t.opts.Self.VM }) {
-		processes = append(slices.Clip(processes), t.opts.Self)
-	}
 	for _, candidates := range groups {
-		for _, i := range decision.Subset(t.opts.Self, processes, candidates) {
+		for _, i := range decision.Subset(t.opts.Self, candidates) {
 			names[candidates[i].VM] = true
 		}
 	}
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -47,13 +47,16 @@
 // Periods and sizes of a tracker.
 const (
 	defaultListPeriod = time.Second
+	// listFreshness bounds the age of a list that others read through this
+	// process.
+	listFreshness = 3 * time.Second
 	// beatSpacing times the number of targets is the heartbeat period, within
 	// its bounds, so that the rate of heartbeats is bounded.
-	beatSpacing   = 16 * time.Millisecond
+	beatSpacing   = 32 * time.Millisecond
 	minBeatPeriod = 250 * time.Millisecond
 	maxBeatPeriod = time.Second
 	// publishPeriod is the longest delay of a changed load in the view.
-	publishPeriod = 50 * time.Millisecond
+	publishPeriod = 100 * time.Millisecond
 	upkeepPeriod  = 250 * time.Millisecond
 	// reconnectDelay is the delay after a heartbeat stream broke twice.
 	reconnectDelay    = 100 * time.Millisecond
@@ -71,8 +74,12 @@
 	silence decision.Silence
 	// stop ends the heartbeat stream; nil outside the subset.
 	stop context.CancelFunc
-	// wanted is when the subset last had the target.
-	wanted time.Time
+	// covered is set if this process is one of those to cover the target.
+	covered bool
+	// unwanted is when the subset ceased to have the target, zero while it has.
+	unwanted time.Time
+	// judged is whether the target was unusable at the last upkeep.
+	judged bool
 	// surveyed is when a target outside the subset was last asked.
 	surveyed time.Time
 	shown    time.Time
@@ -92,7 +99,9 @@
 	// reading is the last reading of the list that was taken in.
 	reading []platform.VM
 	view    atomic.Pointer[View]
-	vms     atomic.Pointer[[]platform.VM]
+	vms     atomic.Pointer[reading]
+	// read is when the list was last read, in nanoseconds since the epoch.
+	read    atomic.Int64
 	beats   chan heartbeat
 	reports chan report
 	// stale is set when the subset is to be chosen again, dirty when the view
@@ -101,6 +110,12 @@
 	dirty bool
 }
 
+// reading is the VM list as last read.
+type reading struct {
+	vms    []platform.VM
+	digest string
+}
+
 // heartbeat is a message of an agent, or the failure to get one.
 type heartbeat struct {
 	vm, addr string
@@ -130,7 +145,7 @@
 		opts: opts, members: map[string]*member{}, listed: map[string]platform.VM{},
 		beats: make(chan heartbeat), reports: make(chan report, reportBacklog),
 	}
-	t.vms.Store(&[]platform.VM{})
+	t.vms.Store(&reading{})
 	t.publish()
 	return t
 }
@@ -139,7 +154,14 @@
 func (t *Tracker) View() *View { return t.view.Load() }
 
 // VMs returns the VMs as last listed. The caller does not change them.
-func (t *Tracker) VMs() []platform.VM { return *t.vms.Load() }
+func (t *Tracker) VMs() []platform.VM { return t.vms.Load().vms }
+
+// Listed returns the VMs as last listed, with their digest, and whether that
+// was lately.
+func (t *Tracker) Listed() (vms []platform.VM, digest string, fresh bool) {
+	r := t.vms.Load()
+	return r.vms, r.digest, time.Since(time.Unix(0, t.read.Load())) <= listFreshness
+}
 
 // Report takes in a load that came with a reply of the given incarnation.
 func (t *Tracker) Report(vm, incarnation string, load peer.Load) {
@@ -189,6 +211,7 @@
 		if err != nil && ctx.Err() == nil {
 			telemetry.Warn(t.opts.Logger, "VM list unavailable", "err", err)
 		} else {
+			t.read.Store(time.Now().UnixNano())
 			select {
 			case out <- vms:
 			case <-ctx.Done():
@@ -248,13 +271,17 @@
 	if b.err == nil && b.beat.State != nil && b.beat.State.VM != b.vm {
 		b.err = errOtherVM
 	}
-	before := m.phaseAndReadiness(b.at)
+	before := m.summary(b.at)
 	t.take(m, &b)
 	if b.err == nil {
 		t.showVersion(ctx, m, b.at)
 	}
+	if m.stop == nil {
+		t.stale = t.stale || m.summary(b.at).unusable != before.unusable
+		return
+	}
 	t.dirty = true
-	if m.phaseAndReadiness(b.at) != before {
+	if m.summary(b.at) != before {
 		t.stale = true
 		t.publish()
 	}
@@ -286,13 +313,15 @@
 	m.Silence = m.silence.Limit()
 }
 
-type phaseAndReadiness struct {
-	phase Phase
-	ready bool
+// summary is what of a member decides on the subset and on new work.
+type summary struct {
+	phase    Phase
+	ready    bool
+	unusable bool
 }
 
-func (m *member) phaseAndReadiness(now time.Time) phaseAndReadiness {
-	return phaseAndReadiness{m.Phase(now), m.State.Ready}
+func (m *member) summary(now time.Time) summary {
+	return summary{m.Phase(now), m.State.Ready, m.unusable(now)}
 }
 
 // applyReport takes in a load that rode on a reply. One of an earlier
--- /dev/null
+++ b/peer/vms.go
@@ -0,0 +1,36 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/quetzalglade/quetzalglade/platform"
+)
+
+// PathVMs serves the VM list as a process last read it.
+const PathVMs = "/peer/v1/vms"
+
+// VMs is the VM list with its digest. The list is left out if the asking
+// process has it.
+type VMs struct {
+	Digest string        `json:"digest"`
+	VMs    []platform.VM `json:"vms,omitempty"`
+}
+
+// DigestVMs returns the digest of a VM list.
+func DigestVMs(vms []platform.VM) string {
+	h := xxhash.New()
+	_ = json.NewEncoder(h).Encode(vms)
+	return strconv.FormatUint(h.Sum64(), 16)
+}
+
+// VMs asks a process for the VM list unless its digest is the given one.
+func (c *Client) VMs(ctx context.Context, addr, digest string) (VMs, error) {
+	var out VMs
+	err := c.exchange(ctx, http.MethodGet, addr, PathVMs+"?digest="+digest, nil, &out)
+	return out, err
+}
