--- a/agent/agent.go
+++ b/agent/agent.go
@@ -9,7 +9,6 @@
 	"crypto/rand"
 	"encoding/hex"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +20,7 @@
 	"github.com/quetzalglade/quetzalglade/config"
 	"github.com/quetzalglade/quetzalglade/configsync"
 	"github.com/quetzalglade/quetzalglade/decision"
+	"github.com/quetzalglade/quetzalglade/internal/httpclient"
 	"github.com/quetzalglade/quetzalglade/internal/httpserve"
 	"github.com/quetzalglade/quetzalglade/peer"
 	"github.com/quetzalglade/quetzalglade/platform"
@@ -47,6 +47,9 @@
 	Logger log.Logger
 	// Limits bound the target's work.
 	Limits decision.QueueLimits
+	// DrainGrace is how long a stopping agent answers other processes at
+	// least, so that they notice.
+	DrainGrace time.Duration
 	// DrainLimit bounds the wait for running work at a stop.
 	DrainLimit time.Duration
 }
@@ -77,7 +80,9 @@
 	incarnationBytes   = 6
 	defaultSlots       = 64
 	defaultQueueLength = 1024
+	defaultDrainGrace  = 3 * time.Second
 	defaultDrainLimit  = 30 * time.Minute
+	drainPoll          = 20 * time.Millisecond
 )
 
 // New returns an agent; Serve runs it.
@@ -99,7 +104,7 @@
 		started:     time.Now(),
 	}
 	a.base, a.cancel = context.WithCancel(context.Background())
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: opts.Limits.Slots}}
+	client := httpclient.New(httpclient.Options{IdlePerHost: opts.Limits.Slots})
 	if opts.EngineURL != "" {
 		a.engine = target.NewEngine(opts.EngineURL, client)
 	} else {
@@ -135,6 +140,9 @@
 	if o.Limits.Length == 0 {
 		o.Limits.Length = defaultQueueLength
 	}
+	if o.DrainGrace == 0 {
+		o.DrainGrace = defaultDrainGrace
+	}
 	if o.DrainLimit == 0 {
 		o.DrainLimit = defaultDrainLimit
 	}
@@ -182,19 +190,34 @@
 	return err
 }
 
-// drain refuses new work and waits for running work and its delivery.
+// drain refuses new work and waits for accepted work and its delivery. It
+// lasts at least the drain grace, so that every entry has learned of it before
+// connections are refused.
 func (a *Agent) drain() {
 	a.setDraining(true, "stop")
-	idle := make(chan struct{})
-	go func() {
-		a.work.Wait()
-		close(idle)
-	}()
-	select {
-	case <-idle:
-	case <-time.After(a.opts.DrainLimit):
-		telemetry.Warn(a.opts.Logger, "drain limit reached with work in progress")
-	}
+	grace := time.After(a.opts.DrainGrace)
+	limit := time.After(a.opts.DrainLimit)
+	poll := time.NewTicker(drainPoll)
+	defer poll.Stop()
+	for graceOver := false; !graceOver || !a.idle(); {
+		select {
+		case <-grace:
+			graceOver = true
+		case <-limit:
+			telemetry.Warn(a.opts.Logger, "drain limit reached with work in progress")
+			return
+		case <-poll.C:
+		}
+	}
+	a.work.Wait()
+}
+
+// idle reports whether no accepted work is left and every generation was sent
+// to its end. A generation that nobody listens to is kept for its grace.
+func (a *Agent) idle() bool {
+	busy := false
+	a.control.do(func(s *state) { busy = len(s.jobs) > 0 })
+	return !busy && !a.generations.undelivered()
 }
 
 func (a *Agent) setDraining(on bool, reason string) {
