Close idle connections to processes that are asked rarely

Cause: an entry's resident memory grew by 0.038 MB a target although its subset did not (TestCapacityEntryControl: 24, 26, 30 and 36 MB at 45, 90, 180 and 350 targets): each surveyed target left a connection open for 90 s, longer than a round of the survey. 15 s bound them to four a second.

--- a/internal/httpclient/httpclient.go
+++ b/internal/httpclient/httpclient.go
@@ -13,8 +13,11 @@
 const (
 	dialTimeout      = 2 * time.Second
 	handshakeTimeout = 3 * time.Second
-	idleTimeout      = 90 * time.Second
-	keepAlivePeriod  = 15 * time.Second
+	// idleTimeout is below the servers', so that no request meets a connection
+	// that is being closed, and bounds the connections to processes that are
+	// asked rarely.
+	idleTimeout     = 15 * time.Second
+	keepAlivePeriod = 15 * time.Second
 )
 
 // Options describe a client.
