--- a/internal/faulttest/capacityload_test.go
+++ b/internal/faulttest/capacityload_test.go
@@ -52,6 +52,7 @@
 	var cpu, kilobytes, resident, force slope
 	for _, n := range []int{175, 350, 700, 1400} {
 		l := newLarge(t, n)
+		l.addStubs(5)
 		l.addStubEntries(5)
 		p := l.startEntry("entry-x", l.storeURL)
 		writes := l.store.Counts().Writes
