--- a/configsync/keep.go
+++ b/configsync/keep.go
@@ -36,6 +36,8 @@
 	// listWait bounds the wait for the first VM list at a start.
 	listWait = time.Second
 	listPoll = 20 * time.Millisecond
+	// bootstrapWait bounds the answers of processes that are asked at a start.
+	bootstrapWait = 750 * time.Millisecond
 	// bootstrapPeers is the number of processes that are asked at a start.
 	bootstrapPeers = 5
 )
@@ -216,6 +218,8 @@
 	if len(addrs) == 0 || f.opts.Peers == nil {
 		return false
 	}
+	ctx, cancel := context.WithTimeout(ctx, bootstrapWait)
+	defer cancel()
 	var wg sync.WaitGroup
 	for i := range min(bootstrapPeers, len(addrs)) {
 		addr := addrs[(turn*bootstrapPeers+i)%len(addrs)]
