--- a/agent/agent.go
+++ b/agent/agent.go
@@ -45,7 +45,7 @@
 	// Store holds the configuration; nil leaves the agent without one.
 	Store  platform.Store
 	Logger log.Logger
-	// Limits bound the target's work.
+	// Limits bound the target's work; the zero value selects the defaults.
 	Limits decision.QueueLimits
 	// DrainGrace is how long a stopping agent answers other processes at
 	// least, so that they notice.
@@ -64,7 +64,9 @@
 	metrics     *telemetry.Metrics
 	config      *configsync.Follower
 	control     *control
+	cadence     cadence
 	generations *table
+	gaps        gapMeter
 	once        *onceTable
 	started     time.Time
 	state       atomic.Pointer[peer.State]
@@ -76,13 +78,11 @@
 
 // Sizes and periods of an agent.
 const (
-	decisionRing       = 4096
-	incarnationBytes   = 6
-	defaultSlots       = 64
-	defaultQueueLength = 1024
-	defaultDrainGrace  = 3 * time.Second
-	defaultDrainLimit  = 30 * time.Minute
-	drainPoll          = 20 * time.Millisecond
+	decisionRing      = 4096
+	incarnationBytes  = 6
+	defaultDrainGrace = 3 * time.Second
+	defaultDrainLimit = 30 * time.Minute
+	drainPoll         = 20 * time.Millisecond
 )
 
 // New returns an agent; Serve runs it.
@@ -134,12 +134,7 @@
 	if o.Logger == nil {
 		o.Logger = log.NewNopLogger()
 	}
-	if o.Limits.Slots == 0 {
-		o.Limits.Slots = defaultSlots
-	}
-	if o.Limits.Length == 0 {
-		o.Limits.Length = defaultQueueLength
-	}
+	o.setLimits()
 	if o.DrainGrace == 0 {
 		o.DrainGrace = defaultDrainGrace
 	}
@@ -149,6 +144,21 @@
 	return nil
 }
 
+// setLimits selects the default limits, or adds the bounds that are missing
+// from given ones.
+func (o *Options) setLimits() {
+	defaults := decision.DefaultQueueLimits()
+	if o.Limits == (decision.QueueLimits{}) {
+		o.Limits = defaults
+	}
+	if o.Limits.Slots == 0 {
+		o.Limits.Slots = defaults.Slots
+	}
+	if o.Limits.Length == 0 {
+		o.Limits.Length = defaults.Length
+	}
+}
+
 func newIncarnation() string {
 	raw := make([]byte, incarnationBytes)
 	// crypto/rand.Read never fails on supported systems.
--- a/agent/call.go
+++ b/agent/call.go
@@ -54,7 +54,7 @@
 		request: call.Request,
 		item: &decision.Item{
 			ID: call.ID, Workspace: call.Workspace, Service: call.Service,
-			Priority: call.Priority, Weight: call.Weight, Short: true,
+			Priority: call.Priority, Weight: call.Weight, Short: true, MaxTokens: callCost,
 			Arrived: now, Deadline: now.Add(time.Duration(call.QueueMillis) * time.Millisecond),
 		},
 		admit: func() {
@@ -73,6 +73,7 @@
 	ctx, cancel := context.WithTimeout(a.base, time.Duration(call.TimeoutMillis)*time.Millisecond)
 	defer cancel()
 	got, err := a.plain.Do(ctx, target.PlainCall{Method: call.Method, Path: call.Path, Header: call.Header, Body: call.Body})
+	a.cadence.add(time.Since(started))
 	out := &peer.Reply{ID: call.ID}
 	if err != nil {
 		out.Error = callFailure(err)
--- a/agent/server.go
+++ b/agent/server.go
@@ -30,6 +30,7 @@
 	peers.HandleFunc("GET "+peer.PathGenerations+"{id}", a.handleResume)
 	peers.HandleFunc("DELETE "+peer.PathGenerations+"{id}", a.handleCancel)
 	peers.HandleFunc("POST "+peer.PathCalls, a.handleCall)
+	peers.HandleFunc("POST "+peer.PathReservations, a.handleReserve)
 	peers.HandleFunc("POST "+peer.PathOutcome, a.handleOutcome)
 	peers.HandleFunc("POST "+peer.PathRevoke, a.handleRevoke)
 	peers.HandleFunc("GET "+peer.PathState, a.handleState)
@@ -104,7 +105,7 @@
 
 // begin queues an attempt and returns its buffer.
 func (a *Agent) begin(attempt *peer.Attempt) (*generation, *result.Error) {
-	g := newGeneration(attempt)
+	g := newGeneration(attempt, &a.gaps)
 	if held := a.generations.put(g); held != nil {
 		return nil, result.New(result.AttemptRevoked, result.RanUnknown, "the generation exists")
 	}
@@ -126,13 +127,10 @@
 			g.finish(nil, e)
 			a.generations.remove(g.id)
 		},
+		tokens: g.progress,
 	}
 	if refusal := a.submit(j); refusal != nil {
 		a.generations.remove(g.id)
-		a.recorder.Record(telemetry.Decision{
-			Kind: telemetry.KindRefuse, Request: attempt.Request, Attempt: attempt.ID, Workspace: attempt.Workspace,
-			Service: attempt.Service, Target: a.opts.VM, Choice: "refuse", Reason: refusal.Name,
-		})
 		return nil, refusal
 	}
 	return g, nil
@@ -174,6 +172,10 @@
 			frame.Load = &load
 		}
 		fresh := len(frame.Tokens) > 0 || last || frame.Admitted != admitted
+		if last || frame.Admitted != admitted {
+			load := a.State().Load
+			frame.Load = &load
+		}
 		if fresh && !send(rc, enc, &frame) {
 			return
 		}
--- a/entry/once.go
+++ b/entry/once.go
@@ -79,7 +79,6 @@
 			return o.withoutTarget(ctx, seen, refusal)
 		}
 		cur, v := o.round(ctx, m, seen)
-		o.entry.done(m.VM.Name)
 		if !v.again {
 			return v.reply, v.failure
 		}
@@ -223,6 +222,8 @@
 	defer cancel()
 	cur, err := o.entry.claims.Get(limit, o.key)
 	switch {
+	case err != nil && o.first:
+		return nil, refusal
 	case err != nil:
 		return nil, refusal.WithRan(result.RanUnknown)
 	case cur == nil:
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -30,10 +30,9 @@
 	// Drain bounds the wait for answers after the last arrival.
 	Drain  time.Duration
 	Engine standin.EngineOptions
-	// Slots are the concurrent requests of a target; Queue those waiting.
-	EngineSlots int
-	PlainSlots  int
-	PlainDelay  time.Duration
+	// PlainSlots are the concurrent calls of a plain service.
+	PlainSlots int
+	PlainDelay time.Duration
 	// SlowShare is the part of the targets that run SlowFactor slower in the
 	// middle third of the run.
 	SlowShare  float64
@@ -117,7 +116,7 @@
 	fo := demo.Options{
 		Engines: d.Engines, Plains: d.Plains, Entries: d.Entries, Engine: engine, PlainRole: d.PlainRole,
 		PlainDelay: opts.PlainDelay, Policy: opts.Policy, Network: network, Logger: log.NewNopLogger(),
-		EngineLimits: decision.QueueLimits{Slots: opts.EngineSlots}, PlainLimits: decision.QueueLimits{Slots: opts.PlainSlots},
+		EngineLimits: decision.DefaultQueueLimits(), PlainLimits: plainLimits(opts.PlainSlots),
 	}
 	if opts.Adjust != nil {
 		opts.Adjust(&fo)
@@ -135,6 +134,14 @@
 	return fleet.EntryURLs, fleet, network, nil
 }
 
+// plainLimits are the default limits for a plain service of a given number of
+// slots.
+func plainLimits(slots int) decision.QueueLimits {
+	l := decision.DefaultQueueLimits()
+	l.Slots, l.Memory = slots, false
+	return l
+}
+
 // drive sends the schedule at its times and collects the outcomes.
 func (s *sender) drive(ctx context.Context, schedule []Arrival, opts *Options) *Figures {
 	ctx, cancel := context.WithCancel(ctx)
