--- a/agent/server.go
+++ b/agent/server.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/quetzalglade/quetzalglade/decision"
 	"github.com/quetzalglade/quetzalglade/peer"
+	"github.com/quetzalglade/quetzalglade/quarantine"
 	"github.com/quetzalglade/quetzalglade/result"
 	"github.com/quetzalglade/quetzalglade/telemetry"
 )
@@ -33,14 +35,16 @@
 	peers.HandleFunc("POST "+peer.PathReservations, a.handleReserve)
 	peers.HandleFunc("POST "+peer.PathOutcome, a.handleOutcome)
 	peers.HandleFunc("POST "+peer.PathRevoke, a.handleRevoke)
-	peers.HandleFunc("GET "+peer.PathState, a.handleState)
 	peers.HandleFunc("GET "+peer.PathBeats, a.handleBeats)
-	peers.HandleFunc("GET "+peer.PathDecisions, a.handleDecisions)
-	peers.HandleFunc("POST "+peer.PathDrain, a.handleDrain)
 	mux := http.NewServeMux()
 	a.config.Register(peers)
 	mux.Handle("/peer/", a.opts.Keys.Require(peer.Exchange(a.config, peers)))
-	mux.Handle("GET /metrics", a.metrics.Handler())
+	operators := a.opts.Keys.Operators(a.opts.OperatorKeys)
+	all := slices.Concat(a.opts.Keys, operators)
+	mux.Handle("GET "+peer.PathState, all.Require(peer.Exchange(a.config, http.HandlerFunc(a.handleState))))
+	mux.Handle("GET "+peer.PathDecisions, operators.Require(http.HandlerFunc(a.handleDecisions)))
+	mux.Handle("POST "+peer.PathDrain, operators.Require(http.HandlerFunc(a.handleDrain)))
+	mux.Handle("GET /metrics", all.Require(a.metrics.Handler()))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", a.handleReady)
 	return mux
@@ -105,17 +109,27 @@
 
 // begin queues an attempt and returns its buffer.
 func (a *Agent) begin(attempt *peer.Attempt) (*generation, *result.Error) {
+	if attempt.Mark != nil {
+		a.marks.Merge(*attempt.Mark)
+	}
+	if a.marks.Status(attempt.Fingerprint, time.Now()) == quarantine.Quarantined {
+		return nil, errQuarantined()
+	}
 	g := newGeneration(attempt, &a.gaps)
 	if held := a.generations.put(g); held != nil {
 		return nil, result.New(result.AttemptRevoked, result.RanUnknown, "the generation exists")
 	}
 	now := time.Now()
+	length := 0
+	if a.opts.Lengths != nil {
+		length = a.opts.Lengths(attempt.Prompt)
+	}
 	j := &job{
 		request: attempt.Request,
 		item: &decision.Item{
 			ID: attempt.ID, Workspace: attempt.Workspace, Service: attempt.Service,
 			Priority: attempt.Priority, Weight: attempt.Weight, Short: attempt.Short,
-			PromptTokens: attempt.PromptTokens, MaxTokens: attempt.MaxTokens,
+			PromptTokens: attempt.PromptTokens, MaxTokens: attempt.MaxTokens, Length: length,
 			Arrived: now, Deadline: now.Add(time.Duration(attempt.QueueMillis) * time.Millisecond),
 		},
 		admit: func() {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"math/rand/v2"
 	"net"
 	"sync/atomic"
@@ -24,6 +25,7 @@
 	"github.com/quetzalglade/quetzalglade/membership"
 	"github.com/quetzalglade/quetzalglade/peer"
 	"github.com/quetzalglade/quetzalglade/platform"
+	"github.com/quetzalglade/quetzalglade/quarantine"
 	"github.com/quetzalglade/quetzalglade/telemetry"
 )
 
@@ -35,9 +37,15 @@
 	// Listener accepts callers and other processes.
 	Listener net.Listener
 	Keys     peer.Keys
-	Store    platform.Store
-	List     membership.Lister
-	Logger   log.Logger
+	// OperatorKeys open drain, decisions, state and metrics to operators'
+	// tools; the fleet's keys do if there are none.
+	OperatorKeys peer.Keys
+	// TLS makes the messages to other processes use TLS with ClientTLS.
+	TLS       bool
+	ClientTLS *tls.Config
+	Store     platform.Store
+	List      membership.Lister
+	Logger    log.Logger
 	// Dial opens the connections to agents; nil selects the standard dialer.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// Policy selects the routing policy, least_work if empty.
@@ -70,6 +78,7 @@
 	// dropped counts frames of another generation or call than expected.
 	dropped  metric.Int64Counter
 	batcher  *claim.Batcher
+	marks    *quarantine.Keeper
 	stopping atomic.Bool
 
 	tokens     metric.Int64Counter
@@ -102,7 +111,10 @@
 	if err != nil {
 		return nil, err
 	}
-	peers := peer.NewClient(httpclient.New(httpclient.Options{IdlePerHost: peerConnsPerHost, Dial: opts.Dial}), opts.Keys)
+	peers := peer.NewClient(httpclient.New(httpclient.Options{IdlePerHost: peerConnsPerHost, Dial: opts.Dial, TLS: opts.ClientTLS}), opts.Keys)
+	if opts.TLS {
+		peers.UseTLS()
+	}
 	members, follower := newFleetView(&opts, peers)
 	batcher := claim.NewBatcher(opts.Store, opts.Claims)
 	e := &Entry{
@@ -115,6 +127,7 @@
 		dropped:  metrics.Counter("crossed_replies", "replies of another generation or call that were dropped"),
 		claims:   claim.NewRegistry(opts.Store, batcher, opts.ClaimRetention),
 		batcher:  batcher,
+		marks:    quarantine.NewKeeper(opts.Store, opts.Logger, true),
 		router:   decision.NewRouter(opts.Policy, opts.Datacentre, opts.Region),
 	}
 	e.picker = newPickerControl(e.members, e.recorder, opts.Off.Slow)
@@ -171,6 +184,7 @@
 	core.Add(e.members)
 	core.Add(e.picker)
 	core.Add(e.batcher)
+	core.Add(e.marks)
 	front := suture.New("entry callers", suture.Spec{EventHook: e.logEvent, Timeout: e.opts.DrainLimit})
 	front.Add(httpserve.New("entry callers", e.opts.Listener, e.handler(), e.opts.DrainLimit))
 	detached := context.WithoutCancel(ctx)
