--- a/entry/server.go
+++ b/entry/server.go
@@ -25,6 +25,7 @@
 	mux.HandleFunc("POST /v1/keys", e.handleKeys)
 	mux.HandleFunc("/s/{service}/{path...}", e.handleCall)
 	peers := http.NewServeMux()
+	peers.HandleFunc("GET "+peer.PathVMs, e.handleVMs)
 	e.config.Register(peers)
 	peers.HandleFunc("POST "+peer.PathMarks, e.handleMarks)
 	mux.Handle("/peer/", e.opts.Keys.Require(peer.Exchange(e.config, peers)))
