Make an entry ready only when it knows its targets

Cause: an entry was ready as soon as it had read the VM list. Requests in the time until the first heartbeat got 2003, which a rolling restart showed as failed requests (TestRollingRestart, 2 of 5 runs red on a busy machine).

Ruled out: a wait in the test; the balancer goes by the readiness endpoint.

Targets that join later do not make a serving entry unready.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -80,6 +80,8 @@
 	batcher  *claim.Batcher
 	marks    *quarantine.Keeper
 	stopping atomic.Bool
+	// settled is set once the targets have been known.
+	settled atomic.Bool
 
 	tokens     metric.Int64Counter
 	firstToken metric.Float64Histogram
@@ -215,10 +217,20 @@
 	return err
 }
 
-// Ready reports whether the entry can serve: it has a configuration, has seen
-// the VM list and is not stopping.
+// Ready reports whether the entry can serve: it has a configuration, has once
+// heard from each target that it works with or found it gone, and is not
+// stopping.
 func (e *Entry) Ready() bool {
-	return !e.stopping.Load() && e.config.Current() != nil && len(e.members.View().Members) > 0
+	return !e.stopping.Load() && e.config.Current() != nil && e.surveyed()
+}
+
+// surveyed reports whether the targets have been known once. Targets that join
+// later do not make a serving entry unready.
+func (e *Entry) surveyed() bool {
+	if !e.settled.Load() && e.members.View().Settled(time.Now()) {
+		e.settled.Store(true)
+	}
+	return e.settled.Load()
 }
 
 // Version returns the configuration version in force here, 0 before the first.
--- a/membership/member.go
+++ b/membership/member.go
@@ -86,3 +86,14 @@
 	}
 	return nil
 }
+
+// Settled reports whether there are targets and each has spoken or is known to
+// be gone.
+func (v *View) Settled(now time.Time) bool {
+	for i := range v.Members {
+		if v.Members[i].Phase(now) == PhaseUnknown {
+			return false
+		}
+	}
+	return len(v.Members) > 0
+}
