--- a/decision/queuefigures_test.go
+++ b/decision/queuefigures_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 )
@@ -147,7 +148,7 @@
 
 // benchCapacity returns what the engine does under twice the load that it can
 // take with all lengths told, in tokens and requests a second.
-func benchCapacity() (tokens, requests float64) {
+var benchCapacity = sync.OnceValues(func() (tokens, requests float64) {
 	const rate = 15
 	l := benchLoad{seed: 42, perSec: steady(rate), duration: 200 * time.Second}
 	jobs := l.jobs(true)
@@ -159,7 +160,7 @@
 		sum += j.length
 	}
 	return tokens, tokens * float64(len(jobs)) / float64(sum)
-}
+})
 
 // benchPlay runs a policy through a load; its queue has learned from warm
 // earlier requests.
