Take a reply as a sign of life of a suspected agent

Cause: after an agent was frozen, its entry resumed the stream through it, yet took it as gone until the next heartbeat, up to a second later, and refused the next request with 2003. In the race run TestStreamSurvivesFailures then waited for ever for a process that had not been killed.

Ruled out: a deadlock of daemon or proxy; the goroutine dump shows the test in restart, and all daemons alive.

Change: a load that rides on a reply of the same incarnation ends the suspicion. The harness fails a restart of a process that has not ended instead of waiting, and the test checks that the kill came in mid-stream.

--- a/internal/faulttest/process_test.go
+++ b/internal/faulttest/process_test.go
@@ -119,7 +119,9 @@
 // restart starts the daemon again with the same settings.
 func (p *process) restart() {
 	p.t.Helper()
-	<-p.done
+	if _, ok := p.exited(startWait); !ok {
+		p.t.Fatalf("%s has not ended, so that it cannot be restarted", p.name)
+	}
 	p.mu.Lock()
 	p.log = append(p.log, restartLine)
 	p.mu.Unlock()
--- a/internal/faulttest/stream_test.go
+++ b/internal/faulttest/stream_test.go
@@ -65,8 +65,12 @@
 		whole(a)
 	})
 	Convey("The entry is killed and the caller resumes through the other one", t, func() {
+		// The agent that was paused is used again with its next heartbeat.
+		eventually(t, startWait, "the entry sees the target", func() bool { return f.sees(f.entries[0], 1) })
 		a := generate(ctx, f.entries[0].addr, "guide", prompt("entry", 1000), nil, once(100, f.entries[0].kill))
 		So(a.complete, ShouldBeFalse)
+		So(a.failure, ShouldBeNil)
+		So(a.last, ShouldBeGreaterThanOrEqualTo, 100)
 		f.entries[0].restart()
 		whole(a.resume(ctx, f.entries[1].addr))
 	})
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -325,8 +325,8 @@
 	return summary{m.Phase(now), m.State.Ready, m.unusable(now)}
 }
 
-// applyReport takes in a load that rode on a reply. One of an earlier
-// incarnation is dropped.
+// applyReport takes in a load that rode on a reply, which shows as a heartbeat
+// does that the agent answers. One of an earlier incarnation is dropped.
 func (t *Tracker) applyReport(r report) {
 	m, ok := t.members[r.vm]
 	if !ok || m.State.Incarnation != r.incarnation || r.at.Before(m.Heard) {
@@ -334,6 +334,7 @@
 	}
 	m.State.Load = r.load
 	m.Heard = r.at
+	m.Broken = false
 	t.dirty = true
 }
 
