--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -141,6 +141,20 @@
 	RangeEnd []byte `json:"range_end"`
 }
 
+// locked answers a request with the result of serve, which runs under the
+// store's lock after leases have expired. count is the counter of the call.
+func locked[Req any](s *Store, w http.ResponseWriter, r *http.Request, count *int64, serve func(*Req) any) {
+	var req Req
+	if !read(w, r, &req) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	*count++
+	s.expire(time.Now())
+	writeJSON(w, serve(&req))
+}
+
 type rangeResponse struct {
 	Header header  `json:"header"`
 	KVs    []entry `json:"kvs,omitempty"`
@@ -148,15 +162,7 @@
 }
 
 func (s *Store) handleRange(w http.ResponseWriter, r *http.Request) {
-	var req rangeRequest
-	if !read(w, r, &req) {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.counts.Reads++
-	s.expire(time.Now())
-	writeJSON(w, s.find(req))
+	locked(s, w, r, &s.counts.Reads, func(req *rangeRequest) any { return s.find(*req) })
 }
 
 func (r *rangeRequest) covers(key string) bool {
@@ -303,69 +309,3 @@
 	}
 	return n
 }
-
-// expire ends the leases whose time has passed and deletes their keys.
-func (s *Store) expire(now time.Time) {
-	for id, l := range s.leases {
-		if now.After(l.expires) {
-			s.end(id)
-		}
-	}
-}
-
-func (s *Store) end(id int64) {
-	delete(s.leases, id)
-	s.revision++
-	s.remove(func(_ string, e entry) bool { return e.Lease == id })
-	s.notify()
-}
-
-type leaseMessage struct {
-	ID  int64 `json:"ID,string"`
-	TTL int64 `json:"TTL,string"`
-}
-
-func (s *Store) handleGrant(w http.ResponseWriter, r *http.Request) {
-	var req leaseMessage
-	if !read(w, r, &req) {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.counts.Leases++
-	s.nextID++
-	ttl := time.Duration(req.TTL) * time.Second
-	s.leases[s.nextID] = &lease{ttl: ttl, expires: time.Now().Add(ttl)}
-	writeJSON(w, leaseMessage{ID: s.nextID, TTL: req.TTL})
-}
-
-func (s *Store) handleKeepAlive(w http.ResponseWriter, r *http.Request) {
-	var req leaseMessage
-	if !read(w, r, &req) {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.counts.Leases++
-	s.expire(time.Now())
-	out := leaseMessage{ID: req.ID}
-	if l, ok := s.leases[req.ID]; ok {
-		l.expires = time.Now().Add(l.ttl)
-		out.TTL = int64(l.ttl / time.Second)
-	}
-	writeJSON(w, map[string]any{"result": out})
-}
-
-func (s *Store) handleRevoke(w http.ResponseWriter, r *http.Request) {
-	var req leaseMessage
-	if !read(w, r, &req) {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.counts.Leases++
-	if _, ok := s.leases[req.ID]; ok {
-		s.end(req.ID)
-	}
-	writeJSON(w, struct{}{})
-}
--- /dev/null
+++ b/internal/standin/storelease.go
@@ -0,0 +1,56 @@
+package standin
+
+import (
+	"net/http"
+	"time"
+)
+
+// expire ends the leases whose time has passed and deletes their keys.
+func (s *Store) expire(now time.Time) {
+	for id, l := range s.leases {
+		if now.After(l.expires) {
+			s.end(id)
+		}
+	}
+}
+
+func (s *Store) end(id int64) {
+	delete(s.leases, id)
+	s.revision++
+	s.remove(func(_ string, e entry) bool { return e.Lease == id })
+	s.notify()
+}
+
+type leaseMessage struct {
+	ID  int64 `json:"ID,string"`
+	TTL int64 `json:"TTL,string"`
+}
+
+func (s *Store) handleGrant(w http.ResponseWriter, r *http.Request) {
+	locked(s, w, r, &s.counts.Leases, func(req *leaseMessage) any {
+		s.nextID++
+		ttl := time.Duration(req.TTL) * time.Second
+		s.leases[s.nextID] = &lease{ttl: ttl, expires: time.Now().Add(ttl)}
+		return leaseMessage{ID: s.nextID, TTL: req.TTL}
+	})
+}
+
+func (s *Store) handleKeepAlive(w http.ResponseWriter, r *http.Request) {
+	locked(s, w, r, &s.counts.Leases, func(req *leaseMessage) any {
+		out := leaseMessage{ID: req.ID}
+		if l, ok := s.leases[req.ID]; ok {
+			l.expires = time.Now().Add(l.ttl)
+			out.TTL = int64(l.ttl / time.Second)
+		}
+		return map[string]any{"result": out}
+	})
+}
+
+func (s *Store) handleRevoke(w http.ResponseWriter, r *http.Request) {
+	locked(s, w, r, &s.counts.Leases, func(req *leaseMessage) any {
+		if _, ok := s.leases[req.ID]; ok {
+			s.end(req.ID)
+		}
+		return struct{}{}
+	})
+}
