Give each daemon under test an IP number of its own

Cause: the harness frees a port before the daemon binds it. On 127.0.0.1 an outgoing connection may take that port in between, also while a daemon is being restarted; the daemon then ends and the test waits for its readiness in vain. This fits the red runs of TestWrongListIsNotBelieved (entry-1 not ready) and of TestRollingRestart on a busy machine, but their logs were lost, so it is not proved to be their cause.

Ruled out: fixed ports, which parallel runs would share.

Conclusion: daemons listen on 127.x.y.z, where no outgoing connection starts.

--- a/internal/faulttest/process_test.go
+++ b/internal/faulttest/process_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -173,10 +174,17 @@
 	return out
 }
 
-// freeAddr returns a loopback address that nothing listens on.
+// addresses counts the addresses that freeAddr has given out.
+var addresses atomic.Uint32
+
+// freeAddr returns a loopback address that nothing listens on. Each has an IP
+// number of its own: outgoing connections start at 127.0.0.1 and so cannot
+// take the port before the daemon does.
 func freeAddr(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid, n := os.Getpid(), addresses.Add(1)
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+(pid>>8)%126, pid%256, 1+n%254)
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		t.Fatal(err)
 	}
