Show link use and targets of entries in status

Cause: status said nothing of the bytes between regions, which are billed.

Conclusion: entries count the estimated bytes to and from other regions, as a metric and in status; the walk-through reads both.

--- a/cmd/quetzalglade/print.go
+++ b/cmd/quetzalglade/print.go
@@ -55,12 +55,12 @@
 	if _, err := fmt.Fprintln(w, store); err != nil {
 		return err
 	}
-	t := newTable(w, "VM", "ROLE", "PLACE", "STATE", "RUNNING", "QUEUED", "MEMORY", "VERSION", "MODELS")
+	t := newTable(w, "VM", "ROLE", "PLACE", "STATE", "RUNNING", "QUEUED", "MEMORY", "VERSION", "TARGETS", "LINK", "MODELS")
 	for i := range s.Processes {
 		p := &s.Processes[i]
 		l := &p.State.Load
 		row(t, p.VM.Name, role(p), p.VM.Region+"/"+p.VM.Datacentre, condition(p), fmt.Sprint(l.Running), fmt.Sprint(l.Queued),
-			memory(l.UsedTokens, l.TotalTokens), fmt.Sprint(p.State.ConfigVersion), strings.Join(p.State.Models, ","))
+			memory(l.UsedTokens, l.TotalTokens), fmt.Sprint(p.State.ConfigVersion), targets(p), link(p), strings.Join(p.State.Models, ","))
 	}
 	if err := t.Flush(); err != nil {
 		return err
@@ -72,6 +72,24 @@
 	return nil
 }
 
+// targets returns the number of targets that an entry may send work to.
+func targets(p *operator.Process) string {
+	if p.VM.Role != platform.RoleEntry {
+		return "-"
+	}
+	return fmt.Sprint(p.State.UsableTargets)
+}
+
+const bytesPerMegabyte = 1e6
+
+// link returns what an entry exchanged with other regions since its start.
+func link(p *operator.Process) string {
+	if p.VM.Role != platform.RoleEntry {
+		return "-"
+	}
+	return fmt.Sprintf("%.1f MB", float64(p.State.LinkBytes)/bytesPerMegabyte)
+}
+
 func role(p *operator.Process) string {
 	if p.VM.Role == platform.RoleTarget && p.State.Role != "" {
 		return p.State.Role
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -146,6 +146,7 @@
 
 func (e *Entry) registerInstruments() {
 	e.metrics.Gauge("usable_targets", "Targets that may get new work.", func() int64 { return int64(e.UsableTargets()) })
+	e.metrics.Gauge("link_bytes", "Estimated bytes to and from targets in other regions since the start.", e.limits.crossedBytes)
 	e.metrics.Gauge("config_version", "Configuration version in force here.", e.Version)
 	e.tokens = e.metrics.Counter("tokens", "Tokens delivered to callers.")
 	e.firstToken = e.metrics.Duration("first_token", "Time from a request's arrival to its first token.", firstTokenBounds...)
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -16,7 +16,9 @@
 	workspaces *decision.WorkspaceLimit
 	hedgers    map[string]*decision.Hedger
 	link       *decision.LinkBudget
-	off        Mechanisms
+	// crossed counts the bytes to and from other regions since the start.
+	crossed int64
+	off     Mechanisms
 }
 
 // Mechanisms names parts of routing that a measurement switches off.
@@ -74,6 +76,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.link.Spend(time.Now(), bytes)
+	l.crossed += int64(bytes)
+}
+
+// crossedBytes returns the bytes to and from other regions since the start.
+func (l *limits) crossedBytes() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.crossed
 }
 
 // mayCross reports whether new work may go to another region.
--- a/entry/server.go
+++ b/entry/server.go
@@ -125,6 +125,7 @@
 	st := peer.State{VM: e.opts.VM, Datacentre: e.opts.Datacentre, Region: e.opts.Region, Role: "entry", Ready: e.Ready(), Draining: e.stopping.Load()}
 	st.ConfigVersion = e.Version()
 	st.UsableTargets = e.UsableTargets()
+	st.LinkBytes = e.limits.crossedBytes()
 	writeJSON(w, st)
 }
 
--- a/internal/faulttest/walkthrough_test.go
+++ b/internal/faulttest/walkthrough_test.go
@@ -82,6 +82,8 @@
 		f.targets[1].agent.kill()
 		out, code = f.tool("status")
 		So(code, ShouldEqual, 0)
+		So(out, ShouldContainSubstring, "version 2 in force")
+		So(out, ShouldContainSubstring, "0.0 MB")
 		So(out, ShouldContainSubstring, "1 processes do not answer: model-2")
 		out, _ = f.tool("explain", "--target", "model-1")
 		So(out, ShouldContainSubstring, "not told: model-2 did not answer")
@@ -104,6 +106,11 @@
 // rollback checks the commands that go back to an earlier version, and that
 // faulty declarations change nothing.
 func rollback(t *testing.T, f *fleet) {
+	Convey("The quarantine is listed", t, func() {
+		out, code := f.tool("quarantine", "list")
+		So(code, ShouldEqual, 0)
+		So(out, ShouldStartWith, "FINGERPRINT")
+	})
 	Convey("A rollback is a new, higher version", t, func() {
 		out, code := f.tool("rollback", "--to", "1")
 		So(code, ShouldEqual, 0)
--- a/peer/message.go
+++ b/peer/message.go
@@ -67,6 +67,9 @@
 	UptimeMillis int64 `json:"uptime_ms,omitempty"`
 	// UsableTargets is the number of targets that an entry may send work to.
 	UsableTargets int `json:"usable_targets,omitempty"`
+	// LinkBytes estimates what an entry exchanged with targets in other regions
+	// since its start.
+	LinkBytes int64 `json:"link_bytes,omitempty"`
 }
 
 // Attempt asks an agent to run one generation. Attempt and generation ids are
