--- a/caller/request.go
+++ b/caller/request.go
@@ -135,11 +135,11 @@
 	return b.String(), nil
 }
 
-// bytesPerToken is the customary estimate for text.
-const bytesPerToken = 4
+// BytesPerToken is the customary estimate for text.
+const BytesPerToken = 4
 
 // EstimateTokens estimates the number of tokens of a prompt.
-func EstimateTokens(prompt string) int { return len(prompt)/bytesPerToken + 1 }
+func EstimateTokens(prompt string) int { return len(prompt)/BytesPerToken + 1 }
 
 // ResumeOffset returns the offset from which a resuming caller wants tokens:
 // the one after Last-Event-ID, or 0 without the header.
--- a/entry/link.go
+++ b/entry/link.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"github.com/quetzalglade/quetzalglade/caller"
 	"github.com/quetzalglade/quetzalglade/peer"
 )
 
@@ -50,9 +51,6 @@
 // spendPrompt counts the prompt of work that is sent to another region.
 func (e *Entry) spendPrompt(t *pickTarget, promptTokens int) {
 	if t.member.State.Region != e.opts.Region {
-		e.limits.cross(messageOverhead + promptTokens*bytesPerToken)
+		e.limits.cross(messageOverhead + promptTokens*caller.BytesPerToken)
 	}
 }
-
-// bytesPerToken is the customary estimate for text.
-const bytesPerToken = 4
