Go on from a backup only after an event of the run

Cause: two workers were mute (srv_grey): they run what they get and answer nothing. One of them left after four silent seconds; its stream had no event, and the gateway asked the backup to go on. No memory had been copied, and the mute holder ran the request anew instead of saying so.

A backup is now relied on only if the run has made an event, which shows that its prompt has been read. Copies on order are confirmed by the engine and stay as they were.

--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -208,7 +208,9 @@
 	add := func(t *registry.Target, holder, handle string) {
 		legs = append(legs, &leg{target: t, resume: &Resume{Holder: holder, Handle: handle, LastEventID: s.lastID}})
 	}
-	if l.backup != nil && !l.backup.Account.Left() {
+	// Before the first event nothing shows that the backup holds any memory of
+	// the run; a faulty holder would start it anew.
+	if l.backup != nil && s.events > 0 && !l.backup.Account.Left() {
 		add(l.backup, l.backup.Addr, s.req.ID)
 	}
 	if l.guard == nil {
