Copy a run at once if the holder of its backup leaves too

The wait now ends when the holder leaves, and a copy is ordered at once.

Test: TestBackupWhoseHolderLeaves, red with the wait as it was (it hung to its limit).

--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -94,13 +94,14 @@
 	left := time.Now()
 	if g.protected() {
 		g.prepare(ctx, g.leg.backup)
-		if !pause(ctx, g.switchDelay(left)) {
+		if g.holds(ctx, g.switchDelay(left)) {
+			g.switching.Store(true)
 			return
 		}
-		if g.protected() {
-			g.switching.Store(true)
+		if ctx.Err() != nil {
 			return
 		}
+		telemetry.Info(g.s.g.o.Logger, "backup lost", "request", g.s.req.ID, "target", g.leg.target.ID, "backup", g.leg.backup.ID)
 	}
 	for g.copyRun(ctx) != nil {
 		if !pause(ctx, copyPeriod) {
@@ -137,6 +138,21 @@
 	return earliest + time.Duration(rand.Float64()*float64(latest-earliest))
 }
 
+// holds waits and reports whether the backup can be relied on all the while: its
+// holder may leave together with the run's target.
+func (g *guard) holds(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return g.protected()
+	case <-g.leg.backup.Account.Leaving():
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // pause waits and reports whether ctx still runs.
 func pause(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
