Count what became of requests by cause, from the log, with one command

quetzalglade outcomes reads the lines of gateways and counts each route's requests by outcome: on time, late (first event, pause, pause at a move), cut off (why), refused (code), the target's own failure, no final line. Answers now log first_ms and their timing against the route's objectives.

--- a/cmd/quetzalglade/main.go
+++ b/cmd/quetzalglade/main.go
@@ -26,7 +26,7 @@
 	root.AddCommand(
 		checkCommand(), publishCommand(c), historyCommand(c), rollbackCommand(c),
 		statusCommand(c), drainCommand(c, true), drainCommand(c, false), explainCommand(c),
-		quarantineCommand(c), keyCommand(), demoCommand(), loadCommand(), versionCommand(),
+		quarantineCommand(c), keyCommand(), demoCommand(), loadCommand(), versionCommand(), outcomesCommand(),
 	)
 	return root
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -196,5 +196,9 @@
 	if err != nil {
 		verdict = "client left"
 	}
-	g.finish(req, o.target.ID, o.resp.StatusCode, verdict, "bytes", len(o.body))
+	timing := "on time"
+	if req.route.Target > 0 && time.Since(req.arrived) > req.route.Target {
+		timing = "answer late"
+	}
+	g.finish(req, o.target.ID, o.resp.StatusCode, verdict, "timing", timing, "bytes", len(o.body))
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -26,8 +26,10 @@
 	begun  bool
 	events int
 	lastID string
-	last   time.Time
-	maxGap time.Duration
+	// toFirst is the time from the request's arrival to its first event.
+	toFirst time.Duration
+	last    time.Time
+	maxGap  time.Duration
 	// maxGapAt is the number of events before the longest gap.
 	maxGapAt int
 	// broke is set once a target may have run the request.
@@ -291,7 +293,9 @@
 		return err
 	}
 	now := time.Now()
-	if gap := now.Sub(s.last); s.events > 0 && gap > s.maxGap {
+	if s.events == 0 {
+		s.toFirst = now.Sub(s.req.arrived)
+	} else if gap := now.Sub(s.last); gap > s.maxGap {
 		s.maxGap = gap
 		s.maxGapAt = s.events
 	}
@@ -321,7 +325,19 @@
 }
 
 func (s *run) finish(t *registry.Target, outcome string, err error) {
-	s.g.finish(s.req, t.ID, http.StatusOK, outcome, "events", s.events, "last_event", s.lastID, "max_gap_ms", s.maxGap.Milliseconds(), "max_gap_at", s.maxGapAt, "err", err)
+	s.g.finish(s.req, t.ID, http.StatusOK, outcome, "timing", s.timing(), "events", s.events, "last_event", s.lastID,
+		"first_ms", s.toFirst.Milliseconds(), "max_gap_ms", s.maxGap.Milliseconds(), "max_gap_at", s.maxGapAt, "err", err)
+}
+
+// timing compares the stream with its route's objectives, for the log.
+func (s *run) timing() string {
+	switch {
+	case s.req.route.Target > 0 && s.toFirst > s.req.route.Target:
+		return "first event late"
+	case s.req.route.MaxGap > 0 && s.maxGap > s.req.route.MaxGap:
+		return "pause too long"
+	}
+	return "on time"
 }
 
 // fail ends a stream that cannot go on. A client that has got a part of it sees
--- /dev/null
+++ b/report/outcomes_test.go
@@ -0,0 +1,43 @@
+package report
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+const sample = `12.1 edge-1 {"msg":"placed","request":"a","route":"guide"}
+12.2 edge-1 {"msg":"continued","request":"a","events":7}
+{"msg":"answered","request":"a","route":"guide","status":200,"outcome":"complete","timing":"pause too long","max_gap_at":7}
+{"msg":"answered","request":"b","route":"guide","status":200,"outcome":"complete","timing":"pause too long","max_gap_at":3}
+{"msg":"answered","request":"c","route":"guide","status":200,"outcome":"complete","timing":"first event late"}
+{"msg":"answered","request":"d","route":"guide","status":200,"outcome":"cut","err":"unexpected EOF"}
+{"msg":"answered","request":"e","route":"guide","status":200,"outcome":"complete","timing":"on time"}
+{"msg":"placed","request":"f","route":"guide"}
+{"msg":"answered","request":"g","route":"look","status":500,"outcome":"complete"}
+{"msg":"refused","request":"h","route":"look","name":"no_target"}
+{"msg":"answered","request":"i","route":"look","status":200,"outcome":"client left"}
+{"msg":"target leaving","target":"x"}
+not a line of ours
+`
+
+func TestOutcomes(t *testing.T) {
+	convey.Convey("Each request is counted once, by its cause", t, func() {
+		o := New()
+		convey.So(o.Read(strings.NewReader(sample)), convey.ShouldBeNil)
+		got := map[string]int{}
+		for _, r := range o.Rows() {
+			got[r.Route+"/"+r.Outcome] = r.Count
+		}
+		convey.So(got, convey.ShouldResemble, map[string]int{
+			"guide/late: pause too long, at a move": 1, "guide/late: pause too long": 1, "guide/late: first event late": 1,
+			"guide/cut off: unexpected EOF": 1, "guide/on time": 1, "guide/" + unfinished: 1,
+			"look/the target's own 500": 1, "look/refused: no_target": 1, "look/client left": 1,
+		})
+		convey.So(o.Skipped, convey.ShouldEqual, 1)
+		var b strings.Builder
+		convey.So(o.Print(&b), convey.ShouldBeNil)
+		convey.So(b.String(), convey.ShouldContainSubstring, "guide  1         0.167")
+	})
+}
