Keep calls in their region however many gateways there are

Cause: near-equal targets are chosen at random within 8 ms a gateway, so that many gateways do not herd on the same news. Calls are placed by the gateway's own requests in progress only, yet shared the width: with 25 gateways a target in the other region, 60 ms further, was nearly as likely as one nearby.

Test: TestCallsStayInTheirRegion, red (about 400 of 1000) before.

--- a/decision/placement.go
+++ b/decision/placement.go
@@ -129,8 +129,13 @@
 }
 
 // Shared returns the costs for a process that is one of so many that place work
-// on the same news: the more they are, the less a small difference matters.
-func (c PlacementCosts) Shared(members int) PlacementCosts {
+// on the same news: the more they are, the less a small difference matters. Work
+// without memory is placed by the process's own requests, so that there is no news
+// to share.
+func (c PlacementCosts) Shared(members int, w PlacementWork) PlacementCosts {
+	if w.MemoryTokens == 0 {
+		return c
+	}
 	const memberMillis, most = 8, 250
 	c.SpreadMillis = min(max(c.SpreadMillis, memberMillis*float64(members)), most)
 	return c
--- a/decision/placement_test.go
+++ b/decision/placement_test.go
@@ -23,18 +23,34 @@
 		targets[i] = PlacementTarget{Slots: 24, Requests: i % 3, MemoryTotal: 30000}
 	}
 	work := PlacementWork{PromptTokens: 2000, MemoryTokens: 3000}
-	many := pick(DefaultPlacementCosts().Shared(28), work, targets, 1000)
+	many := pick(DefaultPlacementCosts().Shared(28, work), work, targets, 1000)
 	for i, n := range many {
 		if n == 0 || n > 300 {
 			t.Errorf("target %d of ten near-equal ones got %d of 1000 among 28 gateways", i, n)
 		}
 	}
-	few := pick(DefaultPlacementCosts().Shared(1), work, targets, 1000)
+	few := pick(DefaultPlacementCosts().Shared(1, work), work, targets, 1000)
 	if few[0] <= many[0] {
 		t.Errorf("one gateway alone prefers the best target no more (%d) than 28 do (%d)", few[0], many[0])
 	}
 }
 
+// Pattern: many gateways, short calls. Calls stay in their region while there is
+// room, however many gateways there are.
+func TestCallsStayInTheirRegion(t *testing.T) {
+	targets := []PlacementTarget{{Slots: 6}, {Slots: 6, Distance: SameRegion}, {Slots: 6, Distance: OtherRegion}, {Slots: 6, Distance: OtherRegion}}
+	work := PlacementWork{}
+	got := pick(DefaultPlacementCosts().Shared(28, work), work, targets, 1000)
+	if far := got[2] + got[3]; far > 200 {
+		t.Errorf("%d of 1000 calls crossed between regions although targets nearby were idle", far)
+	}
+	targets[0].Requests, targets[1].Requests = 9, 9
+	got = pick(DefaultPlacementCosts().Shared(28, work), work, targets, 1000)
+	if far := got[2] + got[3]; far < 900 {
+		t.Errorf("only %d of 1000 calls went to the idle region while the near one was full", far)
+	}
+}
+
 // Pattern: slow engines. A part of the fleet needs longer for each step, so
 // that a prompt read beside a stream makes a pause.
 func TestLongStreamsAvoidSlowEngines(t *testing.T) {
@@ -42,8 +58,9 @@
 		{Slots: 24, Usual: 1.3, MemoryTotal: 30000},
 		{Slots: 24, Usual: 1, Requests: 4, Generating: 4, MemoryTotal: 30000, MemoryTokens: 12000},
 	}
-	c := DefaultPlacementCosts().Shared(4)
-	long := pick(c, PlacementWork{PromptTokens: 3000, MemoryTokens: 4000, Long: true}, targets, 1000)
+	work := PlacementWork{PromptTokens: 3000, MemoryTokens: 4000, Long: true}
+	c := DefaultPlacementCosts().Shared(4, work)
+	long := pick(c, work, targets, 1000)
 	if long[0] > 10 {
 		t.Errorf("%d of 1000 long streams went to the slow engine", long[0])
 	}
@@ -80,8 +97,9 @@
 			alive = alive || !targets[i].Lost
 		}
 		u := rapid.Float64Range(0, 0.999).Draw(t, "u")
-		i := DefaultPlacementCosts().Shared(4)
-		got := i.Pick(PlacementWork{PromptTokens: 1000}, targets, u)
+		work := PlacementWork{PromptTokens: 1000, MemoryTokens: 1000}
+		costs := DefaultPlacementCosts().Shared(4, work)
+		got := costs.Pick(work, targets, u)
 		if got < 0 || got >= n {
 			t.Fatalf("index %d of %d", got, n)
 		}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -28,8 +28,9 @@
 		targets = append(targets, t)
 		candidates = append(candidates, g.candidate(req, t, now))
 	}
-	costs := g.costs.Shared(g.members.Count())
-	best := costs.Pick(req.work(), candidates, rand.Float64())
+	work := req.work()
+	costs := g.costs.Shared(g.members.Count(), work)
+	best := costs.Pick(work, candidates, rand.Float64())
 	if best < 0 {
 		return nil
 	}
