--- a/cmd/quetzalglade/print.go
+++ b/cmd/quetzalglade/print.go
@@ -150,7 +150,11 @@
 		return err
 	}
 	for _, c := range s.Candidates {
-		_, err := fmt.Fprintf(w, "%14s candidate %-10s score=%.2f running=%d queued=%d age=%dms %s\n", "", c.Target, c.Score, c.Running, c.Queued, c.AgeMillis, c.Note)
+		age := "unknown"
+		if c.AgeMillis != nil {
+			age = strconv.FormatInt(*c.AgeMillis, 10) + "ms"
+		}
+		_, err := fmt.Fprintf(w, "%14s candidate %-10s score=%.2f running=%d queued=%d age=%s %s\n", "", c.Target, c.Score, c.Running, c.Queued, age, c.Note)
 		if err != nil {
 			return err
 		}
--- a/entry/route.go
+++ b/entry/route.go
@@ -89,7 +89,7 @@
 	for _, i := range r.choice.Order[:min(len(r.choice.Order), maxLogged)] {
 		t := &r.targets[i]
 		d.Candidates = append(d.Candidates, telemetry.Candidate{
-			Target: t.VM, Score: r.choice.Scores[i], Running: t.Running, Queued: t.Queued, AgeMillis: t.Age.Milliseconds(),
+			Target: t.VM, Score: r.choice.Scores[i], Running: t.Running, Queued: t.Queued, AgeMillis: telemetry.AgeMillis(t.Age),
 		})
 	}
 	e.recorder.Record(d)
--- a/telemetry/decision.go
+++ b/telemetry/decision.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -35,11 +36,21 @@
 	Score   float64 `json:"score"`
 	Running int     `json:"running"`
 	Queued  int     `json:"queued"`
-	// AgeMillis is the age of that knowledge.
-	AgeMillis int64  `json:"age_ms"`
+	// AgeMillis is the age of that knowledge, nil if the target was never heard.
+	AgeMillis *int64 `json:"age_ms,omitempty"`
 	Note      string `json:"note,omitempty"`
 }
 
+// AgeMillis returns an age for a Candidate. An age that time.Since has saturated
+// is that of the zero time, of a target that was never heard.
+func AgeMillis(age time.Duration) *int64 {
+	if age == math.MaxInt64 {
+		return nil
+	}
+	millis := age.Milliseconds()
+	return &millis
+}
+
 // Decision is one routing or placement decision, as logged and as kept for
 // explain.
 type Decision struct {
@@ -92,11 +103,30 @@
 	r.keep(d)
 	r.count.Add(context.Background(), 1, metric.WithAttributes(
 		attribute.String("kind", string(d.Kind)), attribute.String("reason", d.Reason)))
-	Info(r.logger, "decision",
-		"kind", d.Kind, "request", d.Request, "attempt", d.Attempt, "generation", d.Generation,
-		"workspace", d.Workspace, "service", d.Service, "target", d.Target,
-		"choice", d.Choice, "reason", d.Reason, "detail", d.Detail, "candidates", d.Candidates,
-		"took_us", d.TookMicros, "config_version", d.Version)
+	Info(r.logger, "decision", d.fields()...)
+}
+
+// fields returns the names and values that are known.
+func (d *Decision) fields() []any {
+	fields := []any{"kind", d.Kind, "choice", d.Choice, "reason", d.Reason}
+	for _, f := range []struct{ name, value string }{
+		{"request", d.Request}, {"attempt", d.Attempt}, {"generation", d.Generation}, {"workspace", d.Workspace},
+		{"service", d.Service}, {"target", d.Target}, {"detail", d.Detail},
+	} {
+		if f.value != "" {
+			fields = append(fields, f.name, f.value)
+		}
+	}
+	if len(d.Candidates) > 0 {
+		fields = append(fields, "candidates", d.Candidates)
+	}
+	if d.TookMicros > 0 {
+		fields = append(fields, "took_us", d.TookMicros)
+	}
+	if d.Version > 0 {
+		fields = append(fields, "config_version", d.Version)
+	}
+	return fields
 }
 
 func (r *Recorder) keep(d Decision) {
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -8,10 +8,32 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 )
 
+func TestUnknownFieldsAreLeftOut(t *testing.T) {
+	Convey("Neither empty fields nor the age of what was never heard are logged", t, func() {
+		var log bytes.Buffer
+		metrics, err := NewMetrics("quetzalglade_unknown")
+		So(err, ShouldBeNil)
+		r := NewRecorder(NewLogger(&log, "test", "vm-1"), metrics, 3)
+		var never time.Time
+		r.Record(Decision{Kind: KindRoute, Request: "r", Choice: "vm-2", Reason: "least_work", Candidates: []Candidate{
+			{Target: "vm-2", AgeMillis: AgeMillis(time.Since(never))}, {Target: "vm-3", AgeMillis: AgeMillis(5 * time.Millisecond)},
+		}})
+		var line map[string]any
+		So(json.Unmarshal(log.Bytes(), &line), ShouldBeNil)
+		for _, name := range []string{"attempt", "detail", "generation", "workspace", "took_us", "config_version"} {
+			So(line, ShouldNotContainKey, name)
+		}
+		candidates := line["candidates"].([]any)
+		So(candidates[0], ShouldNotContainKey, "age_ms")
+		So(candidates[1].(map[string]any)["age_ms"], ShouldEqual, 5)
+	})
+}
+
 func TestRecorder(t *testing.T) {
 	Convey("Decisions are logged as JSON lines, counted, and the latest kept in order", t, func() {
 		var log bytes.Buffer
