Keep long streams in their region

Placement crossed for 46 % of long streams: 60 ms are little beside the width of 200 ms in which targets count as equal.

Long streams now pay 340 ms more for another region, about one prompt to be read.

Test: TestLongStreamsStayInTheirRegion, red (426 of 1000) before.

--- a/decision/placement.go
+++ b/decision/placement.go
@@ -62,6 +62,9 @@
 	// RegionMillis and DatacentreMillis are added for other places.
 	RegionMillis     float64
 	DatacentreMillis float64
+	// LongRegionMillis is added for long streams in another region: when a run goes
+	// on at another target, the crossing back and forth adds to the pause.
+	LongRegionMillis float64
 	// PauseMillis is added for work that makes pauses of long streams likely: at a
 	// target of half the full speed, in proportion for others.
 	PauseMillis float64
@@ -76,7 +79,7 @@
 func DefaultPlacementCosts() PlacementCosts {
 	return PlacementCosts{
 		PrefillTokenMillis: 0.14, RequestMillis: 20, FullMillis: 2000, PreemptMillis: 1000,
-		RegionMillis: 60, DatacentreMillis: 10, PauseMillis: 3000, WarmingMillis: 300, SpreadMillis: 30,
+		RegionMillis: 60, DatacentreMillis: 10, LongRegionMillis: 340, PauseMillis: 3000, WarmingMillis: 300, SpreadMillis: 30,
 	}
 }
 
@@ -99,6 +102,9 @@
 	switch t.Distance {
 	case OtherRegion:
 		score += c.RegionMillis
+		if w.Long {
+			score += c.LongRegionMillis
+		}
 	case SameRegion:
 		score += c.DatacentreMillis
 	case SameDatacentre:
--- a/decision/placement_test.go
+++ b/decision/placement_test.go
@@ -51,6 +51,26 @@
 	}
 }
 
+// Pattern: leaving engines, two regions. Long streams stay in their region, since a
+// run that moves pauses longer for a client far away; a crowded region gives up some.
+func TestLongStreamsStayInTheirRegion(t *testing.T) {
+	near := PlacementTarget{Slots: 24, Requests: 4, Generating: 4, MemoryTotal: 30000, MemoryTokens: 12000}
+	far := near
+	far.Distance = OtherRegion
+	targets := []PlacementTarget{near, near, far, far}
+	work := PlacementWork{PromptTokens: 3000, MemoryTokens: 4000, Long: true}
+	c := DefaultPlacementCosts().Shared(25, work)
+	got := pick(c, work, targets, 1000)
+	if crossed := got[2] + got[3]; crossed > 200 {
+		t.Errorf("%d of 1000 long streams crossed between regions of equal load", crossed)
+	}
+	targets[0].PrefillTokens, targets[1].PrefillTokens = 9000, 9000
+	got = pick(c, work, targets, 1000)
+	if crossed := got[2] + got[3]; crossed < 800 {
+		t.Errorf("only %d of 1000 long streams left the crowded region", crossed)
+	}
+}
+
 // Pattern: slow engines. A part of the fleet needs longer for each step, so
 // that a prompt read beside a stream makes a pause.
 func TestLongStreamsAvoidSlowEngines(t *testing.T) {
