--- a/decision/placement.go
+++ b/decision/placement.go
@@ -142,7 +142,7 @@
 	if w.MemoryTokens == 0 {
 		return c
 	}
-	const memberMillis, most = 8, 250
+	const memberMillis, most = 4, 250
 	c.SpreadMillis = min(max(c.SpreadMillis, memberMillis*float64(members)), most)
 	return c
 }
