Report errors of servers and log lines that the output refuses

Errors of the servers' Serve were dropped, and a failed write of log lines was not counted. Servers now log an end that was not asked for; lines that the output does not take count as dropped and are reported once it takes lines again.

Test: TestWriterCountsLinesThatTheOutputRefuses (not run red: it needs the new count).

--- a/gateway/front.go
+++ b/gateway/front.go
@@ -98,7 +98,7 @@
 	}
 	f.limits, f.current = limits, h
 	f.servers = append(f.servers, s)
-	go func() { _ = s.Serve(h) }()
+	go f.g.listen("front", s, h)
 	return h
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/thejerf/suture/v4"
 
@@ -136,9 +137,11 @@
 	failed := tree.ServeBackground(control)
 	front := newFront(g)
 	ready := &http.Server{Handler: g.readyHandler(), ReadHeaderTimeout: readyTimeout}
-	go func() { _ = ready.Serve(g.o.Ready) }()
+	defer g.close("readiness", ready)
+	go g.listen("readiness", ready, g.o.Ready)
 	peer := &http.Server{Handler: g.peerHandler(), ReadHeaderTimeout: readyTimeout}
-	go func() { _ = peer.Serve(g.o.Peer) }()
+	defer g.close("peers", peer)
+	go g.listen("peers", peer, g.o.Peer)
 	go front.serve(g.o.Front)
 	select {
 	case err := <-failed:
@@ -161,6 +164,20 @@
 	telemetry.Info(g.o.Logger, "stop", "took_ms", time.Since(began).Milliseconds(), "cut", g.metrics.active.Load())
 }
 
+// listen serves connections until the server or its listener is closed.
+func (g *Gateway) listen(name string, s *http.Server, l net.Listener) {
+	err := s.Serve(l)
+	if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		telemetry.Warn(g.o.Logger, "server ended", "server", name, "err", err)
+	}
+}
+
+func (g *Gateway) close(name string, s *http.Server) {
+	if err := s.Close(); err != nil {
+		telemetry.Warn(g.o.Logger, "server not closed", "server", name, "err", err)
+	}
+}
+
 func (g *Gateway) logEvent(e suture.Event) {
 	telemetry.Warn(g.o.Logger, "service ended", "event", e.String())
 }
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -60,3 +61,33 @@
 		So(w.Body.String(), ShouldContainSubstring, `quetzalglade_test_decisions_total{kind="route",reason="least_work"} 5`)
 	})
 }
+
+// failingOutput takes nothing while it fails.
+type failingOutput struct {
+	bytes.Buffer
+	fails bool
+}
+
+func (o *failingOutput) Write(p []byte) (int, error) {
+	if o.fails {
+		return 0, errors.New("output is gone")
+	}
+	return o.Buffer.Write(p)
+}
+
+func TestWriterCountsLinesThatTheOutputRefuses(t *testing.T) {
+	Convey("Refused lines are reported once the output takes lines again", t, func() {
+		out := &failingOutput{fails: true}
+		w := &Writer{out: out}
+		for range 3 {
+			_, err := w.Write([]byte("line\n"))
+			So(err, ShouldBeNil)
+		}
+		reported := w.flush(0)
+		So(reported, ShouldEqual, 0)
+		So(w.Dropped(), ShouldEqual, 3)
+		out.fails = false
+		So(w.flush(reported), ShouldEqual, 3)
+		So(out.String(), ShouldContainSubstring, `"dropped":3`)
+	})
+}
--- a/telemetry/writer.go
+++ b/telemetry/writer.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -74,19 +75,27 @@
 }
 
 // flush writes the pending lines and, if lines were dropped since the last
-// report, their number. It returns the number reported.
+// report, their number. It returns the number reported. Lines that the output
+// does not take count as dropped; there is nowhere else to report the error.
 func (w *Writer) flush(reported int64) int64 {
 	w.mu.Lock()
 	lines := w.pending
 	w.pending = w.spare[:0]
 	w.mu.Unlock()
 	if len(lines) > 0 {
-		_, _ = w.out.Write(lines)
+		n, err := w.out.Write(lines)
+		if err != nil {
+			w.dropped.Add(int64(bytes.Count(lines[n:], []byte{'\n'})))
+		}
 	}
 	w.spare = lines
 	dropped := w.dropped.Load()
-	if dropped > reported {
-		_, _ = fmt.Fprintf(w.out, "{\"level\":\"warn\",\"msg\":\"log lines dropped\",\"dropped\":%d}\n", dropped-reported)
+	if dropped == reported {
+		return reported
+	}
+	_, err := fmt.Fprintf(w.out, "{\"level\":\"warn\",\"msg\":\"log lines dropped\",\"dropped\":%d}\n", dropped-reported)
+	if err != nil {
+		return reported
 	}
 	return dropped
 }
