Lint beside the plain tests; show daemons' last lines of failed integration tests

Lint now runs beside the plain tests. Running the plain and race halves side by side would halve the rest, but TestSilentTargetGetsNoNewWork was once red in just that situation and is not traced, so it is not done.

Its logs were lost when it failed; a failed integration test now shows the last 40 lines of each daemon.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,9 @@
 	$(GO) mod download
 	cd tools && $(GO) mod download && $(GO) build -o /dev/null tool 2>/dev/null || true
 
-check: known-red format lint build test race ## everything that CI runs
+check: known-red format build ## everything that CI runs
+	$(MAKE) --no-print-directory -j2 --output-sync=target lint test
+	$(MAKE) --no-print-directory race
 
 known-red:
 	@grep -v '^#' KNOWN-RED.txt || echo "known red: none"
--- a/internal/faulttest/process_test.go
+++ b/internal/faulttest/process_test.go
@@ -80,10 +80,27 @@
 	}
 	p := &process{t: t, name: name, addr: addr, file: filepath.Join(dir, program)}
 	p.cmd = exec.Command(p.file, "--settings", file)
+	t.Cleanup(p.tellFailure)
 	p.start()
 	return p
 }
 
+// tellLines is how many of a daemon's last lines a failed test shows.
+const tellLines = 40
+
+// tellFailure shows the daemon's last lines if the test has failed, so that a
+// failure that shows once can be traced.
+func (p *process) tellFailure() {
+	if !p.t.Failed() {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, line := range p.log[max(0, len(p.log)-tellLines):] {
+		p.t.Logf("%s: %s", p.name, line)
+	}
+}
+
 func (p *process) start() {
 	p.t.Helper()
 	pipe, err := p.cmd.StdoutPipe()
--- a/telemetry/decision.go
+++ b/telemetry/decision.go
@@ -110,8 +110,13 @@
 func (d *Decision) fields() []any {
 	fields := []any{"kind", d.Kind, "choice", d.Choice, "reason", d.Reason}
 	for _, f := range []struct{ name, value string }{
-		{"request", d.Request}, {"attempt", d.Attempt}, {"generation", d.Generation}, {"workspace", d.Workspace},
-		{"service", d.Service}, {"target", d.Target}, {"detail", d.Detail},
+		{"request", d.Request},
+		{"attempt", d.Attempt},
+		{"generation", d.Generation},
+		{"workspace", d.Workspace},
+		{"service", d.Service},
+		{"target", d.Target},
+		{"detail", d.Detail},
 	} {
 		if f.value != "" {
 			fields = append(fields, f.name, f.value)
