Let a target that was frozen get work again: the cadence is a median

Calls in progress then are measured as long as the freeze, and one of 4 s raises the moving average (weight 1/4) so that 26 good calls bring it below twice its peers'. A slow target gets one probe of each entry in 2 s, so it stays out for about 26 s. The lines of the failing run show just that: 20 probes in 20 s took 2.6 to 4.1 ms each, and the target's score stayed that of a slow one. Whether a call is in progress at the freeze is chance, hence green runs. Ruled out: the news of the target (0.1 s old), probes not sent, the link of the second case.

A recovering target also no longer has to be within twice its peers' cadence when its own is below the least that counts as slow at all.

--- a/agent/cadence.go
+++ b/agent/cadence.go
@@ -1,28 +1,42 @@
 package agent
 
 import (
-	"sync/atomic"
+	"slices"
+	"sync"
 	"time"
 )
 
-// cadenceShift sets the weight of one new call in the average: 1/2^shift.
-const cadenceShift = 2
+// cadenceWindow is the number of calls that count. Half of them and one decide:
+// a call that a pause of this process made long does not, and a target that is
+// only probed recovers within five probes.
+const cadenceWindow = 9
 
-// cadence is a moving average of the time of a plain service's calls. It is
-// measured here, beside the target, so that a slow link between processes has
-// no part in it. It may be used from any goroutine.
-type cadence struct{ nanos atomic.Int64 }
+// cadence is the median time of a plain service's latest calls. It is measured
+// here, beside the target, so that a slow link between processes has no part in
+// it. It may be used from any goroutine.
+type cadence struct {
+	mu     sync.Mutex
+	recent [cadenceWindow]time.Duration
+	calls  int
+}
 
-// add takes in the time of one call. Concurrent additions may lose one, which
-// an average bears.
+// add takes in the time of one call.
 func (c *cadence) add(took time.Duration) {
-	old := c.nanos.Load()
-	if old == 0 {
-		c.nanos.Store(int64(took))
-		return
-	}
-	c.nanos.Store(old + (int64(took)-old)>>cadenceShift)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recent[c.calls%cadenceWindow] = took
+	c.calls++
 }
 
-// value returns the average, 0 before the first call.
-func (c *cadence) value() time.Duration { return time.Duration(c.nanos.Load()) }
+// value returns the median, 0 before the first call.
+func (c *cadence) value() time.Duration {
+	c.mu.Lock()
+	n := min(c.calls, cadenceWindow)
+	recent := c.recent
+	c.mu.Unlock()
+	if n == 0 {
+		return 0
+	}
+	slices.Sort(recent[:n])
+	return recent[(n-1)/2]
+}
--- a/decision/routing_test.go
+++ b/decision/routing_test.go
@@ -172,6 +172,31 @@
 	}
 }
 
+// A quick target that is rarely asked takes longer for each call than its peers;
+// below the least cadence that counts that keeps no target slow.
+func TestQuickTargetDoesNotStaySlow(t *testing.T) {
+	limits := DefaultSlowLimits()
+	d := NewSlowDetector(limits)
+	paces := func(second int, last time.Duration) []Pace {
+		at := epoch.Add(time.Duration(second) * time.Second)
+		quick := limits.MinGap / 4
+		return []Pace{
+			{VM: "a", Cadence: quick, At: at}, {VM: "b", Cadence: quick, At: at}, {VM: "c", Cadence: quick, At: at}, {VM: "d", Cadence: last, At: at},
+		}
+	}
+	if !d.Update(paces(0, time.Second))["d"] {
+		t.Fatal("the slow target does not count as slow")
+	}
+	for i := range limits.Good {
+		if !d.Update(paces(i, limits.MinGap*3/4))["d"] && i+1 < limits.Good {
+			t.Fatal("recovered too early")
+		}
+	}
+	if d.Update(paces(limits.Good+1, limits.MinGap*3/4))["d"] {
+		t.Error("still slow below the least cadence that counts")
+	}
+}
+
 func TestSlowNeedsPeers(t *testing.T) {
 	d := NewSlowDetector(DefaultSlowLimits())
 	if slow := d.Update([]Pace{{VM: "a", Cadence: 10 * time.Millisecond, At: epoch}, {VM: "b", Cadence: time.Second, At: epoch}}); len(slow) != 0 {
--- a/decision/slow.go
+++ b/decision/slow.go
@@ -91,7 +91,7 @@
 	}
 	s.at = p.At
 	s.good++
-	if ratio >= d.limits.Leave {
+	if p.Cadence >= d.limits.MinGap && ratio >= d.limits.Leave {
 		s.good = 0
 	}
 	if s.good >= d.limits.Good {
