Follow quarantine marks with the store's one watch loop

quarantine.Keeper had a loop of its own beside kvstore.Follow, whose interface it already implements for the gateway. Its loss of the store is now logged once, and the delay between attempts is Follow's (0.1 to 0.8 s instead of 0.2 to 10 s).

--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -31,6 +31,8 @@
 	logger log.Logger
 	watch  bool
 	write  chan Mark
+	// lost belongs to the goroutine that follows the store.
+	lost bool
 }
 
 // NewKeeper returns a keeper with an empty table. It writes to the store and,
@@ -62,17 +64,7 @@
 		defer close(ended)
 		k.writeAll(ctx)
 	}()
-	for failures := 1; ctx.Err() == nil; failures++ {
-		started := time.Now()
-		err := k.follow(ctx)
-		if time.Since(started) > maxRetryDelay {
-			failures = 1
-		}
-		if ctx.Err() == nil {
-			telemetry.Warn(k.logger, "quarantine watch interrupted", "err", err)
-		}
-		wait(ctx, failures)
-	}
+	kvstore.Follow(ctx, k.store, Prefix, k)
 	<-ended
 	return ctx.Err()
 }
@@ -85,30 +77,6 @@
 	}
 }
 
-// follow reads the marks, then watches them until the watch ends.
-func (k *Keeper) follow(ctx context.Context) error {
-	kvs, revision, err := k.store.Range(ctx, Prefix)
-	if err != nil {
-		return err
-	}
-	for _, kv := range kvs {
-		k.adopt(kv.Value)
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	for batch := range k.store.Watch(ctx, Prefix, revision+1) {
-		if batch.Err != nil {
-			return batch.Err
-		}
-		for _, e := range batch.Events {
-			if !e.Deleted {
-				k.adopt(e.KV.Value)
-			}
-		}
-	}
-	return errors.New("watch closed")
-}
-
 func (k *Keeper) adopt(data []byte) {
 	var m Mark
 	if err := json.Unmarshal(data, &m); err != nil {
