--- a/internal/httpclient/httpclient.go
+++ b/internal/httpclient/httpclient.go
@@ -2,12 +2,16 @@
 package httpclient
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Limits of every client's connections.
@@ -51,6 +55,27 @@
 	}
 }
 
+// SendJSON sends a request with a JSON body, none if in is nil. The caller ends
+// the answer with CloseBody.
+func SendJSON(ctx context.Context, client *http.Client, method, url string, in any) (*http.Response, error) {
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return nil, errors.Wrap(err, "encode")
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return nil, errors.Wrap(err, "request")
+	}
+	if in != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	return client.Do(req)
+}
+
 // maxDrain bounds what is read from a body so that its connection is reused.
 const maxDrain = 64 << 10
 
--- a/platform/standin/store.go
+++ b/internal/platformtest/store.go
@@ -1,6 +1,7 @@
-// Package standin holds small stand-ins of the users' platform for tests: its
-// metadata store and its workers, as far as the project's tests need them.
-package standin
+// Package platformtest holds small stand-ins of the users' platform: its
+// metadata store and its workers, as far as the project's tests need them. They
+// speak its protocol, so that platform itself holds only translation.
+package platformtest
 
 import (
 	"encoding/json"
--- a/platform/standin/worker.go
+++ b/internal/platformtest/worker.go
@@ -1,4 +1,4 @@
-package standin
+package platformtest
 
 import (
 	"encoding/json"
@@ -22,10 +22,10 @@
 	// before any answer if Break is set.
 	Break      bool
 	BreakAfter int
-	// Careless runs a continuation though the worker holds no copy of the run.
-	Careless bool
-	// Again makes a continuation begin with the event before the one it is due.
-	Again bool
+	// RunsWithoutCopy runs a continuation though the worker holds no copy of the run.
+	RunsWithoutCopy bool
+	// RepeatsEvent makes a continuation begin with the event before the one it is due.
+	RepeatsEvent bool
 	// Extra sends a second answer after the first, Foreign one to another
 	// request before it.
 	Extra   bool
@@ -208,10 +208,10 @@
 	}
 	f := w.fault()
 	from, ok := w.resumes(r)
-	if f.Again && from > 0 {
+	if f.RepeatsEvent && from > 0 {
 		from--
 	}
-	if f.Shed || !ok && !f.Careless {
+	if f.Shed || !ok && !f.RunsWithoutCopy {
 		rw.Header().Set("X-Not-Executed", "1")
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/kvstore/gateway.go
+++ b/kvstore/gateway.go
@@ -1,7 +1,6 @@
 package kvstore
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -217,16 +216,7 @@
 }
 
 func (g *Gateway) post(ctx context.Context, path string, in any) (*http.Response, error) {
-	body, err := json.Marshal(in)
-	if err != nil {
-		return nil, errors.Wrap(err, "store: encode")
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, g.base+path, bytes.NewReader(body))
-	if err != nil {
-		return nil, errors.Wrap(err, "store: request")
-	}
-	req.Header.Set("Content-Type", "application/json")
-	resp, err := g.http.Do(req)
+	resp, err := httpclient.SendJSON(ctx, g.http, http.MethodPost, g.base+path, in)
 	if err != nil {
 		return nil, errors.Wrapf(err, "store %s", path)
 	}
--- a/kvstore/watch.go
+++ b/kvstore/watch.go
@@ -78,3 +78,26 @@
 	}
 	return b
 }
+
+// Poll implements Watch for stores that are asked again and again: poll returns
+// the changes after a revision as soon as there are any.
+func Poll(ctx context.Context, from int64, poll func(after int64) WatchBatch) <-chan WatchBatch {
+	out := make(chan WatchBatch)
+	go func() {
+		defer close(out)
+		after := from - 1
+		for {
+			batch := poll(after)
+			select {
+			case out <- batch:
+			case <-ctx.Done():
+				return
+			}
+			if batch.Err != nil {
+				return
+			}
+			after = max(after, batch.Revision)
+		}
+	}()
+	return out
+}
