Read the change again: one memory limit, one set of timings, sources of numbers, names

The two daemons' mains set their memory limit in near copies: command.Daemon does it. The words of an answer's timing stood in gateway and in report: telemetry.Timing. Weights of placement say their unit and source; Route.Resumable, which nothing read, is gone; comments say report, state or change where they said news.

--- a/cmd/quetzalglade-gateway/main.go
+++ b/cmd/quetzalglade-gateway/main.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"runtime/debug"
 
 	"github.com/go-kit/log"
 
@@ -17,22 +16,23 @@
 
 func main() {
 	d := command.Daemon[gateway.Settings]{
-		Name:     "quetzalglade-gateway",
-		Short:    "Run the process in front of the targets on the users' platform",
-		Defaults: gateway.DefaultSettings,
-		VM:       func(s *gateway.Settings) string { return s.Process.VM },
-		File:     platform.SettingsFile,
-		Run:      run,
+		Name:       "quetzalglade-gateway",
+		Short:      "Run the process in front of the targets on the users' platform",
+		Defaults:   gateway.DefaultSettings,
+		VM:         func(s *gateway.Settings) string { return s.Process.VM },
+		MemoryMB:   func(s *gateway.Settings) int { return s.Process.MemoryMB },
+		MemoryPart: memoryPart,
+		File:       platform.SettingsFile,
+		Run:        run,
 	}
 	command.Main(d.Command())
 }
 
-// memoryPart is the part of a VM's memory above which the garbage collector
-// works harder.
+// memoryPart is the heap's part of the VM's memory; stacks and socket buffers
+// need the rest.
 const memoryPart = 0.6
 
 func run(ctx context.Context, s *gateway.Settings, logger log.Logger) error {
-	debug.SetMemoryLimit(int64(memoryPart * float64(s.Process.MemoryMB) * (1 << 20)))
 	opts, err := s.Options(logger)
 	if err != nil {
 		return err
--- a/cmd/quetzalglade-sidecar/main.go
+++ b/cmd/quetzalglade-sidecar/main.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"runtime/debug"
 
 	"github.com/go-kit/log"
 
@@ -16,22 +15,23 @@
 
 func main() {
 	d := command.Daemon[sidecar.Settings]{
-		Name:     "quetzalglade-sidecar",
-		Short:    "Run the process beside a model engine on the users' platform",
-		Defaults: sidecar.DefaultSettings,
-		VM:       func(s *sidecar.Settings) string { return s.Process.VM },
-		File:     platform.SettingsFile,
-		Run:      run,
+		Name:       "quetzalglade-sidecar",
+		Short:      "Run the process beside a model engine on the users' platform",
+		Defaults:   sidecar.DefaultSettings,
+		VM:         func(s *sidecar.Settings) string { return s.Process.VM },
+		MemoryMB:   func(s *sidecar.Settings) int { return s.Process.MemoryMB },
+		MemoryPart: memoryPart,
+		File:       platform.SettingsFile,
+		Run:        run,
 	}
 	command.Main(d.Command())
 }
 
-// memoryPart is the part of a VM's memory above which the garbage collector
-// works harder.
+// memoryPart is the heap's part of the VM's memory; stacks and socket buffers
+// need the rest.
 const memoryPart = 0.5
 
 func run(ctx context.Context, s *sidecar.Settings, logger log.Logger) error {
-	debug.SetMemoryLimit(int64(memoryPart * float64(s.Process.MemoryMB) * (1 << 20)))
 	opts, err := s.Options(logger)
 	if err != nil {
 		return err
--- a/decision/placement.go
+++ b/decision/placement.go
@@ -63,7 +63,8 @@
 	RegionMillis     float64
 	DatacentreMillis float64
 	// LongRegionMillis is added for long streams in another region: when a run goes
-	// on at another target, the crossing back and forth adds to the pause.
+	// on at another target, the crossing back and forth adds to the pause. With
+	// RegionMillis it is about the time of reading one prompt of 2900 tokens.
 	LongRegionMillis float64
 	// PauseMillis is added for work that makes pauses of long streams likely: at a
 	// target of half the full speed, in proportion for others.
@@ -135,20 +136,23 @@
 }
 
 // Shared returns the costs for a process that is one of so many that place work
-// on the same news: the more they are, the less a small difference matters. Work
-// without memory is placed by the process's own requests, so that there is no news
+// on the same reports: the more they are, the less a small difference matters. Work
+// without memory is placed by the process's own requests, so that there is no report
 // to share.
 func (c PlacementCosts) Shared(members int, w PlacementWork) PlacementCosts {
 	if w.MemoryTokens == 0 {
 		return c
 	}
+	// Milliseconds for each process that shares the reports, and at most: within
+	// the time of reading a prompt (364 ms) an idle target still wins. With 25
+	// gateways 8 gave later first events, docs/MEASUREMENTS.md.
 	const memberMillis, most = 4, 250
 	c.SpreadMillis = min(max(c.SpreadMillis, memberMillis*float64(members)), most)
 	return c
 }
 
 // Pick chooses a target, -1 if there is none. Other processes choose at the same
-// time on the same news, so the choice is random among those whose scores
+// time on the same reports, so the choice is random among those whose scores
 // differ little: each Spread milliseconds more make a target less likely by the
 // factor e. u is uniform in [0, 1).
 func (c *PlacementCosts) Pick(w PlacementWork, targets []PlacementTarget, u float64) int {
--- a/decision/placement_test.go
+++ b/decision/placement_test.go
@@ -7,7 +7,7 @@
 )
 
 // pick draws n placements and counts them by target. Each one is not seen by
-// the next, as with gateways that choose on the same news.
+// the next, as with gateways that choose on the same reports.
 func pick(c PlacementCosts, w PlacementWork, targets []PlacementTarget, n int) []int {
 	counts := make([]int, len(targets))
 	for i := range n {
@@ -16,7 +16,7 @@
 	return counts
 }
 
-// Pattern: herd. Many gateways place work on the same news at the same time.
+// Pattern: herd. Many gateways place work on the same reports at the same time.
 func TestHerdSpreadsOverNearEqualTargets(t *testing.T) {
 	targets := make([]PlacementTarget, 10)
 	for i := range targets {
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -243,12 +243,12 @@
 		})
 		own.setRefuse(true)
 		store.put("config/current", "2")
-		eventually(t, "the news come by the other", func() bool { return away.record.value("config/current") == "2" })
+		eventually(t, "the change comes by the other", func() bool { return away.record.value("config/current") == "2" })
 	})
 }
 
 func TestNewsThatNobodyHearsFromTheStoreGrowOld(t *testing.T) {
-	convey.Convey("Two processes that read each other do not take that for news", t, func() {
+	convey.Convey("Two processes that read each other do not take that for fresh", t, func() {
 		hub := NewHub()
 		hub.Subscribe("config/", &record{values: map[string]string{}})
 		hub.Reset(nil, 7)
--- a/feed/hub.go
+++ b/feed/hub.go
@@ -38,7 +38,7 @@
 	// heard is when the store itself was last heard of, directly or by others.
 	heard   time.Time
 	changed chan struct{}
-	// lag is the age of the news from the present source, in nanoseconds.
+	// lag is the age of the state from the present source, in nanoseconds.
 	lag atomic.Int64
 }
 
@@ -159,7 +159,7 @@
 }
 
 // since returns the changes after a revision and a channel that is closed at
-// the next news; ok is false if the history does not reach back.
+// the next change; ok is false if the history does not reach back.
 func (h *Hub) since(after int64) (events []kvstore.Event, revision int64, heard time.Time, changed <-chan struct{}, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/feed/source.go
+++ b/feed/source.go
@@ -19,11 +19,11 @@
 // Times of reading another process. Together they stay below the time in which
 // a configuration has to be in force, also if the other falls silent.
 const (
-	// waitLimit is how long a hub holds a question without news.
+	// waitLimit is how long a hub holds a question without changes.
 	waitLimit = 400 * time.Millisecond
 	// readLimit bounds a question: the wait and a crossing between regions.
 	readLimit = time.Second
-	// maxAge is the age of a hub's news from which on it counts as behind.
+	// maxAge is the age of a hub's state from which on it counts as behind.
 	maxAge = 1500 * time.Millisecond
 	// avoidTime is how long a process that failed is not asked again.
 	avoidTime = 4 * time.Second
@@ -115,7 +115,7 @@
 	s.avoid[r.name()] = now.Add(avoidTime)
 }
 
-// succeeded notes that a place answered with news of the given age.
+// succeeded notes that a place answered with a state of the given age.
 func (s *Source) succeeded(r reading, age time.Duration) {
 	s.hub.lag.Store(int64(age))
 	s.mu.Lock()
@@ -280,7 +280,7 @@
 		return errors.Wrap(err, "feed: decode")
 	}
 	if m.age() > maxAge {
-		return errors.Newf("feed: news are %v old", m.age())
+		return errors.Newf("feed: state is %v old", m.age())
 	}
 	return nil
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -196,9 +196,9 @@
 	if err != nil {
 		verdict = "client left"
 	}
-	timing := "on time"
+	timing := telemetry.OnTime
 	if req.route.Target > 0 && time.Since(req.arrived) > req.route.Target {
-		timing = "answer late"
+		timing = telemetry.AnswerLate
 	}
 	g.finish(req, o.target.ID, o.resp.StatusCode, verdict, "timing", timing, "bytes", len(o.body))
 }
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -43,7 +43,7 @@
 	// four milliseconds.
 	defaultStoreTimeout = 1500 * time.Millisecond
 	// defaultWatch and the waits of two gateways that read each other stay below
-	// the age at which news count as too old.
+	// the age at which changes count as too old.
 	defaultWatch = 700 * time.Millisecond
 	// defaultBalancerGrace covers two questions of the balancer, a second apart.
 	defaultBalancerGrace = 2500 * time.Millisecond
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -330,14 +330,14 @@
 }
 
 // timing compares the stream with its route's objectives, for the log.
-func (s *run) timing() string {
+func (s *run) timing() telemetry.Timing {
 	switch {
 	case s.req.route.Target > 0 && s.toFirst > s.req.route.Target:
-		return "first event late"
+		return telemetry.FirstEventLate
 	case s.req.route.MaxGap > 0 && s.maxGap > s.req.route.MaxGap:
-		return "pause too long"
+		return telemetry.PauseTooLong
 	}
-	return "on time"
+	return telemetry.OnTime
 }
 
 // fail ends a stream that cannot go on. A client that has got a part of it sees
--- a/internal/command/daemon.go
+++ b/internal/command/daemon.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"reflect"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/go-kit/log"
@@ -22,6 +23,10 @@
 	Defaults func() S
 	// VM returns the VM's name for the log.
 	VM func(*S) string
+	// MemoryMB returns the VM's memory in megabytes, nil or 0 for no limit;
+	// MemoryPart is the part of it above which the garbage collector works harder.
+	MemoryMB   func(*S) int
+	MemoryPart float64
 	// File returns the default settings file; nil selects the daemon's name with
 	// the suffix .ini.
 	File func() string
@@ -53,6 +58,7 @@
 			out := telemetry.NewWriter(os.Stdout)
 			defer func() { _ = out.Close() }()
 			logger := telemetry.NewLogger(out, d.Name, d.VM(&s))
+			d.limitMemory(&s)
 			go d.watchReload(ctx, file, &s, logger)
 			return d.Run(ctx, &s, logger)
 		},
@@ -72,6 +78,14 @@
 	os.Exit(ExitCode(err))
 }
 
+func (d *Daemon[S]) limitMemory(s *S) {
+	if d.MemoryMB == nil || d.MemoryMB(s) == 0 {
+		return
+	}
+	const bytesPerMB = 1 << 20
+	debug.SetMemoryLimit(int64(d.MemoryPart * float64(d.MemoryMB(s)) * bytesPerMB))
+}
+
 func (d *Daemon[S]) defaultFile() string {
 	if d.File != nil {
 		return d.File()
--- a/report/outcomes.go
+++ b/report/outcomes.go
@@ -8,11 +8,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
 	"sort"
 	"strings"
 	"text/tabwriter"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalglade/quetzalglade/telemetry"
 )
 
 // maxLineBytes bounds one log line.
@@ -20,7 +23,7 @@
 
 // Outcomes that are not causes of a loss.
 const (
-	onTime     = "on time"
+	onTime     = string(telemetry.OnTime)
 	unfinished = "no final line: the process ended, or the log did"
 )
 
@@ -33,8 +36,8 @@
 	Outcome string `json:"outcome"`
 	// Timing is the verdict of an answer that is complete, GapAt the number of
 	// events before its longest pause.
-	Timing string `json:"timing"`
-	GapAt  int    `json:"max_gap_at"`
+	Timing telemetry.Timing `json:"timing"`
+	GapAt  int              `json:"max_gap_at"`
 	// Events is the number of events before a run went on elsewhere.
 	Events int    `json:"events"`
 	Error  string `json:"err"`
@@ -120,14 +123,14 @@
 		return "cut off: " + l.Error
 	case l.Outcome != "complete":
 		return l.Outcome
-	case l.Status >= 400:
+	case l.Status >= http.StatusBadRequest:
 		return fmt.Sprintf("the target's own %d", l.Status)
-	case l.Timing == "pause too long" && o.moved(l):
-		return "late: pause too long, at a move"
-	case l.Timing == "" || l.Timing == onTime:
+	case l.Timing == telemetry.PauseTooLong && o.moved(l):
+		return "late: " + string(l.Timing) + ", at a move"
+	case l.Timing == "" || l.Timing == telemetry.OnTime:
 		return onTime
 	}
-	return "late: " + l.Timing
+	return "late: " + string(l.Timing)
 }
 
 func (o *Outcomes) moved(l *line) bool {
--- a/routing/table.go
+++ b/routing/table.go
@@ -48,8 +48,6 @@
 	MaxAttempts int
 	// Priority orders work; 0 is the most urgent.
 	Priority int
-	// Resumable streams may be continued by a new run.
-	Resumable bool
 	Backends  []Backend
 }
 
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -23,7 +23,7 @@
 }
 
 // DefaultSettings returns the settings that a file starts from. The period is a
-// tenth of the time in which an engine reads a prompt: within it, news of work
+// tenth of the time in which an engine reads a prompt: within it, a report
 // seldom misleads.
 func DefaultSettings() Settings {
 	var s Settings
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -173,7 +173,7 @@
 }
 
 // otherWork reports whether requests have come, made their first event or ended.
-// Gateways place work by that, so old news sends several requests to one engine.
+// Gateways place work by that, so old reports send several requests to one engine.
 func otherWork(a, b *Line) bool {
 	if a.Lost || b.Lost {
 		return false
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -91,7 +91,7 @@
 	})
 }
 
-// Pattern: herd. Gateways that place work on old news send it to the same engine.
+// Pattern: herd. Gateways that place work on old reports send it to the same engine.
 func TestNewWorkIsToldAtOnce(t *testing.T) {
 	run := Run{Request: "r"}
 	cases := []struct {
