--- a/routing/table.go
+++ b/routing/table.go
@@ -48,7 +48,7 @@
 	MaxAttempts int
 	// Priority orders work; 0 is the most urgent.
 	Priority int
-	Backends  []Backend
+	Backends []Backend
 }
 
 // Pick returns the service for a request. u is uniform in [0, 1).
