entry: report the delivered tokens of the attempt that delivered them

Cause: failureToReport asked whether any attempt had delivered tokens and then kept the earlier error, whichever attempt it came from. After a refusal, the error of the attempt that delivered was lost. The same class: the count in an error is that of the moment at which the error was made, so an agent's refusal of a replay, or a replay that delivers more tokens and then breaks, reported too few as well.

Change: the error of the attempt that delivered the last tokens is kept, and the count is read from the responder when the error is reported.

Evidence: TestReportedFailureIsThatOfTheDeliveringAttempt failed with the old function (expected engine_lost with 2 delivered, got overloaded with 0) and passes.

--- a/entry/generate.go
+++ b/entry/generate.go
@@ -140,14 +140,14 @@
 			return refusal
 		}
 		if refusal != nil {
-			failure = c.failureToReport(failure, refusal)
+			failure = failureToReport(failure, refusal)
 			break
 		}
 		latest := c.attempt(ctx, m)
 		if latest == nil {
 			return nil
 		}
-		failure = c.failureToReport(failure, latest)
+		failure = failureToReport(failure, latest)
 		c.propagateMarks(ctx, m, latest)
 		if !isRetryable(ctx, latest) || !c.entry.limits.takeRetry() || !c.responder.DiscardUndelivered() {
 			break
@@ -155,15 +155,14 @@
 		c.tried[m.VM.Name] = true
 		c.recordRetry(m, latest)
 	}
-	return failure.WithRan(c.attempts.resolve())
+	return failure.WithRan(c.attempts.resolve()).WithDelivered(c.responder.Delivered())
 }
 
 // failureToReport returns the error that the caller gets if no further attempt
 // completes the answer. That is the latest error, with two exceptions: NoTarget does
-// not replace an earlier error, and once tokens were delivered, the error that
-// interrupted them is kept. Errors that end the request for good are always
-// returned.
-func (c *completionRequest) failureToReport(earlier, latest *result.Error) *result.Error {
+// not replace an earlier error, and the error of the attempt that delivered the last
+// tokens is kept. Errors that end the request for good are always returned.
+func failureToReport(earlier, latest *result.Error) *result.Error {
 	if earlier == nil {
 		return latest
 	}
@@ -171,7 +170,10 @@
 	case result.ReplayDiverged, result.Cancelled, result.DeadlineExceeded, result.Quarantined:
 		return latest
 	}
-	if latest.Code == result.NoTarget || c.responder.Delivered() > 0 || earlier.Delivered > 0 {
+	if latest.Delivered > earlier.Delivered {
+		return latest
+	}
+	if latest.Code == result.NoTarget || earlier.Delivered > 0 {
 		return earlier
 	}
 	return latest
--- a/result/result.go
+++ b/result/result.go
@@ -72,6 +72,13 @@
 	return &c
 }
 
+// WithDelivered returns a copy of e with another number of delivered tokens.
+func (e *Error) WithDelivered(tokens int) *Error {
+	c := *e
+	c.Delivered = tokens
+	return &c
+}
+
 // From returns the *Error in err's chain. If there is none, it returns an error
 // with the code Internal and RanUnknown. From(nil) is nil.
 func From(err error) *Error {
