feed, gateway: log size and duration of failed reads and the origin of a version

The three hypotheses in docs/incidents/inc-18-config.md could not be told apart by the lines: a read that fails in its body said nothing of what it had transferred, and a version that comes into force said nothing of where it came from and how old that state was.

Change: feed upstream failed has bytes and transfer_ms if the body was not received completely; configuration in force has source, state_age_ms and bytes. No logic changes.

Evidence: go test ./feed ./gateway.

--- a/feed/source.go
+++ b/feed/source.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -65,8 +66,18 @@
 	mu sync.Mutex
 	// avoidUntil maps the names of failed upstreams to the end of their avoidPeriod.
 	avoidUntil map[string]time.Time
-	// current is the name of the upstream that last returned a state.
-	current string
+	// current is the name of the upstream that last returned a state, currentAge the
+	// age that the state had when it was received.
+	current    string
+	currentAge time.Duration
+}
+
+// Current returns the name of the upstream that last returned a state, and the age
+// that the state had when it was received.
+func (s *Source) Current() (string, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current, s.currentAge
 }
 
 // NewSource returns a source that feeds a hub.
@@ -121,7 +132,9 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	if now.After(s.avoidUntil[u.name()]) {
-		telemetry.Warn(s.logger, "feed upstream failed", "source", u.name(), "err", err, "revision", s.hub.Revision())
+		var transfer *transferError
+		errors.As(err, &transfer)
+		telemetry.Warn(s.logger, "feed upstream failed", append([]any{"source", u.name(), "err", err, "revision", s.hub.Revision()}, transfer.fields()...)...)
 	}
 	s.avoidUntil[u.name()] = now.Add(avoidPeriod)
 }
@@ -135,6 +148,7 @@
 		telemetry.Info(s.logger, "feed upstream changed", "source", u.name(), "before", s.current, "revision", s.hub.Revision())
 		s.current = u.name()
 	}
+	s.currentAge = age
 	delete(s.avoidUntil, u.name())
 }
 
@@ -296,11 +310,48 @@
 	default:
 		return errors.Newf("feed: unexpected status %d", resp.StatusCode)
 	}
-	if err := json.NewDecoder(resp.Body).Decode(response); err != nil {
-		return errors.Wrap(err, "feed: decode response")
+	body := &countingReader{r: resp.Body}
+	startedAt := time.Now()
+	if err := json.NewDecoder(body).Decode(response); err != nil {
+		return errors.Wrap(&transferError{err: err, bytes: body.bytes, took: time.Since(startedAt)}, "feed: decode response")
 	}
 	if response.age() > maxStateAge {
 		return errors.Newf("feed: stale state, %v old", response.age())
 	}
 	return nil
 }
+
+// countingReader counts the bytes that are read from r.
+type countingReader struct {
+	r     io.Reader
+	bytes int64
+}
+
+// Read implements io.Reader.
+func (c *countingReader) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	c.bytes += int64(n)
+	return n, err
+}
+
+// transferError is the error of a response body that was not received completely.
+type transferError struct {
+	err error
+	// bytes is the number of bytes received within took.
+	bytes int64
+	took  time.Duration
+}
+
+// Error implements the error interface.
+func (e *transferError) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *transferError) Unwrap() error { return e.err }
+
+// fields returns the key-value pairs of the error for the log; e may be nil.
+func (e *transferError) fields() []any {
+	if e == nil {
+		return nil
+	}
+	return []any{"bytes", e.bytes, "transfer_ms", e.took.Milliseconds()}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -296,6 +296,8 @@
 	if current := g.table.Load(); current != nil && current.Version >= table.Version {
 		return
 	}
-	telemetry.Info(g.opts.Logger, "configuration in force", "config_version", table.Version, "before", g.configVersion(), "revision", kv.ModRevision)
+	source, stateAge := g.feedSource.Current()
+	telemetry.Info(g.opts.Logger, "configuration in force", "config_version", table.Version, "before", g.configVersion(), "revision", kv.ModRevision,
+		"source", source, "state_age_ms", stateAge.Milliseconds(), "bytes", len(kv.Value))
 	g.table.Store(table)
 }
