--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -163,12 +163,20 @@
 	member   Member
 	store    *fakeStore
 	recorder *recorder
+	source   *Source
 	server   *httptest.Server
 }
 
 // startNode starts a process that reads the given store and members until the end
 // of the test.
 func startNode(t *testing.T, store *fakeStore, name string, members func() Members) *node {
+	t.Helper()
+	return startNodeWithClient(t, store, name, members, &http.Client{})
+}
+
+// startNodeWithClient does the same as startNode, and the process reads other processes
+// through the given client.
+func startNodeWithClient(t *testing.T, store *fakeStore, name string, members func() Members, client *http.Client) *node {
 	t.Helper()
 	n := &node{store: store, recorder: &recorder{}}
 	hub := NewHub()
@@ -176,10 +184,9 @@
 	n.server = httptest.NewServer(hub.Handler())
 	n.member = Member{Name: name, Region: "r", Addr: n.server.Listener.Addr().String()}
 	ctx, cancel := context.WithCancel(context.Background())
+	n.source = NewSource(store, hub, members(), client, log.NewNopLogger())
 	var done sync.WaitGroup
-	done.Go(func() {
-		kvstore.Follow(ctx, NewSource(store, hub, members(), &http.Client{}, log.NewNopLogger()), "", hub)
-	})
+	done.Go(func() { kvstore.Follow(ctx, n.source, "", hub) })
 	t.Cleanup(func() {
 		cancel()
 		n.server.CloseClientConnections()
--- /dev/null
+++ b/feed/transfer_test.go
@@ -0,0 +1,70 @@
+package feed
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/quetzalglade/quetzalglade/internal/httpclient"
+	"github.com/quetzalglade/quetzalglade/internal/wan"
+	"github.com/quetzalglade/quetzalglade/kvstore"
+)
+
+// TestFeedOmitsSupersededVersions guards against responses that hold every version of a
+// key since the last read, which delay a new configuration when many change in a row.
+func TestFeedOmitsSupersededVersions(t *testing.T) {
+	convey.Convey("A response holds the newest state of each changed key, in the order of revisions", t, func() {
+		hub := NewHub()
+		hub.Subscribe("config/", &recorder{values: map[string]string{}})
+		hub.Reset([]kvstore.KV{{Key: "config/old", ModRevision: 1}}, 1)
+		for revision := int64(2); revision < 40; revision++ {
+			hub.Apply(kvstore.WatchBatch{Revision: revision, Events: []kvstore.Event{
+				{KV: kvstore.KV{Key: "config/current", Value: []byte(fmt.Sprint(revision)), ModRevision: revision}},
+			}})
+		}
+		hub.Apply(kvstore.WatchBatch{Revision: 41, Events: []kvstore.Event{
+			{KV: kvstore.KV{Key: "config/brief", ModRevision: 40}},
+			{KV: kvstore.KV{Key: "config/brief", ModRevision: 41}, Deleted: true},
+		}})
+		events, revision, _, _, ok := hub.changesSince(1)
+		convey.So(ok, convey.ShouldBeTrue)
+		convey.So(revision, convey.ShouldEqual, 41)
+		convey.So(events, convey.ShouldHaveLength, 2)
+		convey.So(events[0].KV.ModRevision, convey.ShouldEqual, 39)
+		convey.So(events[1].KV.Key, convey.ShouldEqual, "config/brief")
+		convey.So(events[1].Deleted, convey.ShouldBeTrue)
+	})
+}
+
+// A link on which the transfer of a large state takes several times requestTimeout.
+const (
+	slowLinkBitsPerSecond = 2e6
+	largeStateBytes       = 600 << 10
+)
+
+// TestSlowLinkDeliversState guards against a reader that never receives a new state
+// because each transfer takes longer than a time limit, is dropped and starts again.
+func TestSlowLinkDeliversState(t *testing.T) {
+	convey.Convey("A state that takes several seconds to transfer arrives", t, func() {
+		store := newFakeStore()
+		store.put("config/current", "1")
+		source := startNode(t, store, "source", func() Members { return fixedMembers{} })
+		network := wan.New(wan.Distances{RegionBitsPerSecond: slowLinkBitsPerSecond})
+		network.Register(source.member.Addr, wan.Location{Datacentre: "a", Region: "a"})
+		client := httpclient.New(httpclient.Options{Dial: network.Dialer(wan.Location{Datacentre: "b", Region: "b"})})
+		unreachable := newFakeStore()
+		unreachable.setRejectReads(true)
+		reader := startNodeWithClient(t, unreachable, "reader", func() Members {
+			return fixedMembers{leader: &source.member, others: []Member{source.member}}
+		}, client)
+		eventually(t, "the reader has the first version", func() bool { return reader.recorder.value("config/current") == "1" })
+		large := strings.Repeat("x", largeStateBytes)
+		store.put("config/current", large)
+		eventually(t, "the reader has the large version", func() bool { return reader.recorder.value("config/current") == large })
+		_, age := reader.source.Current()
+		convey.So(age, convey.ShouldBeGreaterThan, time.Second)
+	})
+}
