feed: send the current state of changed keys instead of every version

Cause: a hub kept the changes and sent all of them after the reader's revision. In a series of versions every response holds each of them in full, to each gateway of a region, over the leader's link. Bytes grow with versions x size x gateways; a gateway that falls behind must read more the longer it takes.

Change: a hub keeps the current state of each key with its revision, and deletions; a response holds the newest state of what changed. A change that is older than the known state is not applied to the hub. A gateway decodes only the newest version of a batch.

--- a/feed/hub.go
+++ b/feed/hub.go
@@ -7,6 +7,9 @@
 package feed
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -16,9 +19,9 @@
 	"github.com/quetzalglade/quetzalglade/kvstore"
 )
 
-// maxHistory is the maximum number of changes that a hub keeps for watch
+// maxDeletions is the maximum number of deleted keys that a hub keeps for watch
 // requests.
-const maxHistory = 2000
+const maxDeletions = 2000
 
 // subscriber is a follower of the keys under a prefix.
 type subscriber struct {
@@ -35,8 +38,9 @@
 	mu       sync.Mutex
 	items    map[string]kvstore.KV
 	revision int64
-	history  []kvstore.Event
-	// historyStart is a revision; history contains all changes after it.
+	// deletions maps deleted keys to the revisions of their deletions. It holds all
+	// deletions after historyStart of keys that do not exist.
+	deletions    map[string]int64
 	historyStart int64
 	// syncedAt is when the state was last read from the store, by this process or
 	// by the process that it came from.
@@ -50,7 +54,7 @@
 
 // NewHub returns an empty hub.
 func NewHub() *Hub {
-	return &Hub{items: map[string]kvstore.KV{}, changed: make(chan struct{})}
+	return &Hub{items: map[string]kvstore.KV{}, deletions: map[string]int64{}, changed: make(chan struct{})}
 }
 
 // Subscribe adds a follower of the keys under a prefix. It must be called
@@ -78,7 +82,7 @@
 		}
 	}
 	h.revision = revision
-	h.history = nil
+	h.deletions = map[string]int64{}
 	h.historyStart = revision
 	h.notify()
 	h.mu.Unlock()
@@ -99,11 +103,7 @@
 	for i := range batch.Events {
 		h.apply(batch.Events[i])
 	}
-	if len(h.history) > maxHistory {
-		excess := len(h.history) - maxHistory
-		h.historyStart = h.history[excess-1].KV.ModRevision
-		h.history = append([]kvstore.Event(nil), h.history[excess:]...)
-	}
+	h.pruneDeletions()
 	h.revision = max(h.revision, batch.Revision)
 	h.notify()
 	h.mu.Unlock()
@@ -118,17 +118,31 @@
 	}
 }
 
-// apply applies one change to the hub's keys. Callers hold the lock.
+// apply applies one change to the hub's keys, unless a newer state of the key is
+// known. Callers hold the lock.
 func (h *Hub) apply(e kvstore.Event) {
-	if !h.isSubscribed(e.KV.Key) {
+	key := e.KV.Key
+	if !h.isSubscribed(key) || max(h.items[key].ModRevision, h.deletions[key]) > e.KV.ModRevision {
 		return
 	}
 	if e.Deleted {
-		delete(h.items, e.KV.Key)
-	} else {
-		h.items[e.KV.Key] = e.KV
+		delete(h.items, key)
+		h.deletions[key] = e.KV.ModRevision
+		return
 	}
-	h.history = append(h.history, e)
+	delete(h.deletions, key)
+	h.items[key] = e.KV
+}
+
+// pruneDeletions removes the older half of the deletions if there are more than
+// maxDeletions. Callers hold the lock.
+func (h *Hub) pruneDeletions() {
+	if len(h.deletions) <= maxDeletions {
+		return
+	}
+	revisions := slices.Sorted(maps.Values(h.deletions))
+	h.historyStart = revisions[len(revisions)/2]
+	maps.DeleteFunc(h.deletions, func(_ string, revision int64) bool { return revision <= h.historyStart })
 }
 
 // Disconnected implements kvstore.Follower.
@@ -168,18 +182,28 @@
 	return out, h.revision, h.syncedAt
 }
 
-// changesSince returns the changes after a revision and a channel that is closed
-// at the next update; ok is false if the history does not reach back that far.
+// changesSince returns the current state of the keys that changed after a revision, in
+// the order of their last changes, and a channel that is closed at the next update.
+// States that a later change replaced are left out, so that the size does not grow with
+// the number of changes. ok is false if deletions after the revision may be unknown.
 func (h *Hub) changesSince(after int64) (events []kvstore.Event, revision int64, syncedAt time.Time, changed <-chan struct{}, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if after < h.historyStart {
 		return nil, 0, h.syncedAt, h.changed, false
 	}
-	for _, e := range h.history {
-		if e.KV.ModRevision > after {
-			events = append(events, e)
+	for _, kv := range h.items {
+		if kv.ModRevision > after {
+			events = append(events, kvstore.Event{KV: kv})
+		}
+	}
+	for key, deletedAt := range h.deletions {
+		if deletedAt > after {
+			events = append(events, kvstore.Event{KV: kvstore.KV{Key: key, ModRevision: deletedAt}, Deleted: true})
 		}
 	}
+	slices.SortFunc(events, func(a, b kvstore.Event) int {
+		return cmp.Or(cmp.Compare(a.KV.ModRevision, b.KV.ModRevision), cmp.Compare(a.KV.Key, b.KV.Key))
+	})
 	return events, h.revision, h.syncedAt, h.changed, true
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -251,9 +252,9 @@
 // Apply implements kvstore.Follower.
 func (f *tableFollower) Apply(batch kvstore.WatchBatch) {
 	f.markConnected()
-	for i := range batch.Events {
-		if !batch.Events[i].Deleted {
-			f.g.applyTable(&batch.Events[i].KV)
+	for _, e := range slices.Backward(batch.Events) {
+		if !e.Deleted && f.g.applyTable(&e.KV) {
+			return
 		}
 	}
 }
@@ -283,21 +284,22 @@
 }
 
 // applyTable puts a configuration into force if its version is higher than the
-// current one.
-func (g *Gateway) applyTable(kv *kvstore.KV) {
+// current one. It reports whether kv holds a valid configuration.
+func (g *Gateway) applyTable(kv *kvstore.KV) bool {
 	if kv.Key != g.opts.TableKey {
-		return
+		return false
 	}
 	table, err := g.opts.DecodeTable(kv.Value)
 	if err != nil {
 		telemetry.Warn(g.opts.Logger, "ignored invalid configuration", "revision", kv.ModRevision, "err", err)
-		return
+		return false
 	}
 	if current := g.table.Load(); current != nil && current.Version >= table.Version {
-		return
+		return true
 	}
 	source, stateAge := g.feedSource.Current()
 	telemetry.Info(g.opts.Logger, "configuration in force", "config_version", table.Version, "before", g.configVersion(), "revision", kv.ModRevision,
 		"source", source, "state_age_ms", stateAge.Milliseconds(), "bytes", len(kv.Value))
 	g.table.Store(table)
+	return true
 }
