feed, platform: limit transfers by progress, and list a backlog of changes

Cause: one time limit for a whole exchange, whatever its size. A read that takes longer is dropped with all that it has transferred and starts again, at the next upstream, with more to transfer. The store's watch makes it worse: it returns every version since the last poll.

Change: httpclient.Transfer limits the time to the header, the time without data and, far above, the whole. A poll whose response exceeds 1 MiB ends with kvstore.ErrBacklog, and the reader lists the current state instead. The age of a state includes the time of its transfer and travels with the batch that it belongs to; so far, it counted from the end of the transfer, and a reader could apply the age of one batch to another.

Evidence: TestSlowLinkDeliversState and TestSlowStoreLinkDeliversConfiguration timed out after 20 s without the change to feed, kvstore and platform, and pass with it in 4 and 11 s (all tests of the packages). Their links are throttled at the reader now: on wan.Network, the data of a closed connection still used the link.

--- a/feed/hub.go
+++ b/feed/hub.go
@@ -47,8 +47,7 @@
 	syncedAt time.Time
 	// changed is closed and replaced at each update.
 	changed chan struct{}
-	// lag is the age of the state that the current upstream returned, in
-	// nanoseconds.
+	// lag is the age of the state that is passed to the next Reset, in nanoseconds.
 	lag atomic.Int64
 }
 
@@ -84,7 +83,7 @@
 	h.revision = revision
 	h.deletions = map[string]int64{}
 	h.historyStart = revision
-	h.notify()
+	h.notify(time.Duration(h.lag.Load()))
 	h.mu.Unlock()
 	for _, s := range h.subscribers {
 		var matching []kvstore.KV
@@ -105,7 +104,7 @@
 	}
 	h.pruneDeletions()
 	h.revision = max(h.revision, batch.Revision)
-	h.notify()
+	h.notify(batch.Age)
 	h.mu.Unlock()
 	for _, s := range h.subscribers {
 		matching := kvstore.WatchBatch{Revision: batch.Revision}
@@ -152,10 +151,10 @@
 	}
 }
 
-// notify updates syncedAt and wakes the pending watch requests. Callers hold the
-// lock.
-func (h *Hub) notify() {
-	if syncedAt := time.Now().Add(-time.Duration(h.lag.Load())); syncedAt.After(h.syncedAt) {
+// notify updates syncedAt for a state of the given age and wakes the pending watch
+// requests. Callers hold the lock.
+func (h *Hub) notify(age time.Duration) {
+	if syncedAt := time.Now().Add(-age); syncedAt.After(h.syncedAt) {
 		h.syncedAt = syncedAt
 	}
 	close(h.changed)
--- a/feed/source.go
+++ b/feed/source.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -17,17 +16,20 @@
 	"github.com/quetzalglade/quetzalglade/telemetry"
 )
 
-// Limits of reads from another process. requestTimeout plus maxStateAge is below
-// the 5 s within which a new configuration must be in force at every process, so
-// that an upstream that stops responding or serves old state does not delay it
-// too long.
+// Limits of reads from another process. headerTimeout plus maxStateAge is below the 3 s
+// within which a new configuration must be in force at every process, so that an
+// upstream that stops responding or serves old state does not delay it too long.
 const (
 	// watchTimeout is how long a hub delays the response to a watch request while
 	// nothing changes.
 	watchTimeout = 400 * time.Millisecond
-	// requestTimeout bounds a list or watch request. It allows for watchTimeout and
-	// a cross-region round trip.
-	requestTimeout = time.Second
+	// headerTimeout limits the time until a response starts. It allows for
+	// watchTimeout and a cross-region round trip.
+	headerTimeout = time.Second
+	// idleTimeout limits the time without data in a response, transferLimit the
+	// duration of its body.
+	idleTimeout   = time.Second
+	transferLimit = 5 * time.Second
 	// maxStateAge is the maximum time since a hub's state was read from the store.
 	// A hub whose state is older counts as a failed upstream.
 	maxStateAge = 1500 * time.Millisecond
@@ -141,7 +143,6 @@
 
 // markSucceeded records that an upstream returned a state of the given age.
 func (s *Source) markSucceeded(u upstream, age time.Duration) {
-	s.hub.lag.Store(int64(age))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.current != u.name() {
@@ -165,6 +166,7 @@
 			err = errors.Newf("feed: stale response: revision %d is lower than that of the hub", revision)
 		}
 		if err == nil {
+			s.hub.lag.Store(int64(age))
 			s.markSucceeded(u, age)
 			return kvs, revision, nil
 		}
@@ -178,8 +180,9 @@
 // process's hub. It returns the keys, their revision and the age of the state.
 func (s *Source) list(ctx context.Context, u upstream, prefix string) ([]kvstore.KV, int64, time.Duration, error) {
 	if u.member == nil {
+		startedAt := time.Now()
 		kvs, revision, err := s.Store.Range(ctx, prefix)
-		return kvs, revision, 0, err
+		return kvs, revision, time.Since(startedAt), err
 	}
 	var response Response
 	if err := s.fetch(ctx, u.member.Addr, PathList, &response); err != nil {
@@ -193,7 +196,7 @@
 }
 
 // Watch implements kvstore.Store. It ends when ctx ends, when maxAttempts reads
-// in a row fail, or with kvstore.ErrCompacted.
+// in a row fail, or when the keys must be listed.
 func (s *Source) Watch(ctx context.Context, prefix string, from int64) <-chan kvstore.WatchBatch {
 	out := make(chan kvstore.WatchBatch)
 	go func() {
@@ -220,7 +223,7 @@
 		} else {
 			err = s.watchMember(ctx, u, &after, out, &failures)
 		}
-		if errors.Is(err, kvstore.ErrCompacted) {
+		if kvstore.MustList(err) {
 			return err
 		}
 		if err == nil {
@@ -249,7 +252,7 @@
 			return batch.Err
 		}
 		*failures = 0
-		s.markSucceeded(upstream{}, 0)
+		s.markSucceeded(upstream{}, batch.Age)
 		*after = max(*after, batch.Revision)
 		select {
 		case out <- batch:
@@ -278,7 +281,7 @@
 	*failures = 0
 	s.markSucceeded(u, response.age())
 	*after = max(*after, response.Revision)
-	batch := kvstore.WatchBatch{Revision: response.Revision}
+	batch := kvstore.WatchBatch{Revision: response.Revision, Age: response.age()}
 	for i := range response.Events {
 		batch.Events = append(batch.Events, kvstore.Event{KV: response.Events[i].kv(), Deleted: response.Events[i].Deleted})
 	}
@@ -289,18 +292,19 @@
 	return nil
 }
 
-// fetch sends a request to the hub at addr and decodes the response. It fails if
-// the hub's state is older than maxStateAge.
+// fetch sends a request to the hub at addr and decodes the response. The age in the
+// response includes the duration of the transfer. fetch fails if the hub's state was
+// older than maxStateAge when the response started.
 func (s *Source) fetch(ctx context.Context, addr, path string, response *Response) error {
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, nil)
+	transfer := httpclient.NewTransfer(ctx, headerTimeout, idleTimeout, transferLimit)
+	defer transfer.Stop()
+	req, err := http.NewRequestWithContext(transfer.Context(), http.MethodGet, "http://"+addr+path, nil)
 	if err != nil {
 		return errors.Wrap(err, "feed: create request")
 	}
 	resp, err := s.http.Do(req)
 	if err != nil {
-		return errors.Wrap(err, "feed")
+		return errors.Wrap(transfer.Explain(err), "feed")
 	}
 	defer httpclient.CloseBody(resp)
 	switch resp.StatusCode {
@@ -310,30 +314,18 @@
 	default:
 		return errors.Newf("feed: unexpected status %d", resp.StatusCode)
 	}
-	body := &countingReader{r: resp.Body}
-	startedAt := time.Now()
-	if err := json.NewDecoder(body).Decode(response); err != nil {
-		return errors.Wrap(&transferError{err: err, bytes: body.bytes, took: time.Since(startedAt)}, "feed: decode response")
+	err = json.NewDecoder(transfer.Body(resp.Body)).Decode(response)
+	took, bytes := transfer.Elapsed()
+	if err != nil {
+		return errors.Wrap(&transferError{err: transfer.Explain(err), bytes: bytes, took: took}, "feed: decode response")
 	}
 	if response.age() > maxStateAge {
 		return errors.Newf("feed: stale state, %v old", response.age())
 	}
+	response.AgeMillis += took.Milliseconds()
 	return nil
 }
 
-// countingReader counts the bytes that are read from r.
-type countingReader struct {
-	r     io.Reader
-	bytes int64
-}
-
-// Read implements io.Reader.
-func (c *countingReader) Read(p []byte) (int, error) {
-	n, err := c.r.Read(p)
-	c.bytes += int64(n)
-	return n, err
-}
-
 // transferError is the error of a response body that was not received completely.
 type transferError struct {
 	err error
--- a/feed/transfer_test.go
+++ b/feed/transfer_test.go
@@ -39,7 +39,8 @@
 	})
 }
 
-// A link on which the transfer of a large state takes several times requestTimeout.
+// A link on which the transfer of a large state takes several times as long as a
+// response may take to start.
 const (
 	slowLinkBitsPerSecond = 2e6
 	largeStateBytes       = 600 << 10
@@ -52,9 +53,7 @@
 		store := newFakeStore()
 		store.put("config/current", "1")
 		source := startNode(t, store, "source", func() Members { return fixedMembers{} })
-		network := wan.New(wan.Distances{RegionBitsPerSecond: slowLinkBitsPerSecond})
-		network.Register(source.member.Addr, wan.Location{Datacentre: "a", Region: "a"})
-		client := httpclient.New(httpclient.Options{Dial: network.Dialer(wan.Location{Datacentre: "b", Region: "b"})})
+		client := httpclient.New(httpclient.Options{Dial: wan.ThrottledDialer(slowLinkBitsPerSecond)})
 		unreachable := newFakeStore()
 		unreachable.setRejectReads(true)
 		reader := startNodeWithClient(t, unreachable, "reader", func() Members {
--- a/kvstore/follow.go
+++ b/kvstore/follow.go
@@ -12,6 +12,16 @@
 // history. The caller must list the keys again.
 var ErrCompacted = errors.New("store: history compacted")
 
+// ErrBacklog ends a watch whose changes exceed the size limit of a response. The
+// current state is smaller; the caller must list the keys.
+var ErrBacklog = errors.New("store: backlog of changes exceeds the size limit")
+
+// MustList reports whether err ended a watch that can't be continued before the keys
+// are listed again.
+func MustList(err error) bool {
+	return errors.Is(err, ErrCompacted) || errors.Is(err, ErrBacklog)
+}
+
 // Follower receives the keys and changes that Follow reads from the store.
 // Follow makes all calls from one goroutine.
 type Follower interface {
@@ -47,7 +57,7 @@
 		if responded {
 			failures = 0
 		}
-		if errors.Is(err, ErrCompacted) {
+		if MustList(err) {
 			revision = 0
 			if responded {
 				continue
--- a/kvstore/store.go
+++ b/kvstore/store.go
@@ -62,7 +62,10 @@
 type WatchBatch struct {
 	Revision int64
 	Events   []Event
-	Err      error
+	// Age is the time since the store, or the process that passes its changes on,
+	// read the state at Revision.
+	Age time.Duration
+	Err error
 }
 
 // Store is the part of a key-value store's interface that this project uses. All
