feed: read only upstreams that can have changes

Cause: a gateway that cannot read the store asked any other in random order. A peer that is as stale as the reader cost 0.4 s, as it waits for changes. A failed store was tried again in the foreground each 4 s, for 2.2 s if it does not respond, although a peer had the changes; after an outage it was avoided for 4 s whenever it returned. All of this needs more gateways in a region than the small deployments have.

Change: a response names the processes that its state came through, and a process rejects a state that came through itself. The first read of an upstream does not wait for changes. A reader stays with a peer that works. The failed store and leader are probed in the background, after 0.5 to 4 s, and read once a probe succeeded; if all have failed, the one that failed longest ago is next.

Evidence: TestReaderRejectsItsOwnState and TestFailedStoreIsProbed cannot be stated on the old code (no path, no probe).

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -25,7 +25,9 @@
 	items       map[string]kvstore.KV
 	revision    int64
 	changed     chan struct{}
-	reads       int
+	// reads counts the calls of Range and the polls of watches, probes those of Get.
+	reads  int
+	probes int
 }
 
 func newFakeStore() *fakeStore {
@@ -67,6 +69,20 @@
 	return out, s.revision, nil
 }
 
+func (s *fakeStore) Get(_ context.Context, key string) (*kvstore.KV, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.probes++
+	if s.rejectReads {
+		return nil, errRejected
+	}
+	kv, ok := s.items[key]
+	if !ok {
+		return nil, nil
+	}
+	return &kv, nil
+}
+
 func (s *fakeStore) Watch(ctx context.Context, prefix string, from int64) <-chan kvstore.WatchBatch {
 	out := make(chan kvstore.WatchBatch)
 	go func() {
@@ -151,10 +167,12 @@
 
 // fixedMembers is a Members implementation with constant results.
 type fixedMembers struct {
+	name   string
 	leader *Member
 	others []Member
 }
 
+func (f fixedMembers) Name() string     { return f.name }
 func (f fixedMembers) Leader() *Member  { return f.leader }
 func (f fixedMembers) Others() []Member { return f.others }
 
@@ -278,12 +296,60 @@
 		hub.mu.Unlock()
 		s := NewSource(newFakeStore(), NewHub(), fixedMembers{}, &http.Client{}, log.NewNopLogger())
 		var response Response
-		err := s.fetch(context.Background(), server.Listener.Addr().String(), PathList, &response)
+		err := s.fetch(context.Background(), upstream{&Member{Addr: server.Listener.Addr().String()}}, PathList, headerTimeout, &response)
 		convey.So(err, convey.ShouldNotBeNil)
 		convey.So(response.age(), convey.ShouldBeGreaterThan, maxStateAge)
 	})
 }
 
+// TestReaderRejectsItsOwnState guards against a process that reads its own state back from
+// one of its readers, so that it and all its readers count it as current although none
+// of them reads the store.
+func TestReaderRejectsItsOwnState(t *testing.T) {
+	convey.Convey("A state that came through the reader fails, another one does not", t, func() {
+		hub := NewHub()
+		hub.Reset(nil, 7)
+		server := httptest.NewServer(hub.Handler())
+		defer server.Close()
+		u := upstream{&Member{Name: "upstream", Addr: server.Listener.Addr().String()}}
+		s := NewSource(newFakeStore(), NewHub(), fixedMembers{name: "reader"}, &http.Client{}, log.NewNopLogger())
+		for _, path := range []string{PathList, watchPath(7, 0)} {
+			hub.setVia([]string{"leader"})
+			convey.So(s.fetch(context.Background(), u, path, headerTimeout, &Response{}), convey.ShouldBeNil)
+			hub.setVia([]string{"leader", "reader"})
+			convey.So(s.fetch(context.Background(), u, path, headerTimeout, &Response{}), convey.ShouldEqual, errLoop)
+		}
+	})
+}
+
+// TestFailedStoreIsProbed guards against a process that does not receive changes while it
+// tries a failed store again, although another process has them.
+func TestFailedStoreIsProbed(t *testing.T) {
+	convey.Convey("A failed store is probed, and read only after a probe succeeded", t, func() {
+		store := newFakeStore()
+		store.put("config/current", "1")
+		other := startNode(t, store, "other", func() Members { return fixedMembers{name: "other"} })
+		rejecting := clone(store)
+		rejecting.setRejectReads(true)
+		n := startNode(t, rejecting, "n", func() Members { return fixedMembers{name: "n", others: []Member{other.member}} })
+		probes := func() int {
+			rejecting.mu.Lock()
+			defer rejecting.mu.Unlock()
+			return rejecting.probes
+		}
+		eventually(t, "two probes failed", func() bool { return probes() >= 2 })
+		convey.So(n.recorder.value("config/current"), convey.ShouldEqual, "1")
+		rejecting.mu.Lock()
+		convey.So(rejecting.reads, convey.ShouldEqual, 1)
+		rejecting.mu.Unlock()
+		rejecting.setRejectReads(false)
+		eventually(t, "the store is read again", func() bool {
+			current, _ := n.source.Current()
+			return current == "store"
+		})
+	})
+}
+
 // TestProcessesAgreeOnLeader guards against several leaders in a region, which
 // would all read the store.
 func TestProcessesAgreeOnLeader(t *testing.T) {
--- a/feed/hub.go
+++ b/feed/hub.go
@@ -49,6 +49,9 @@
 	changed chan struct{}
 	// lag is the age of the state that is passed to the next Reset, in nanoseconds.
 	lag atomic.Int64
+	// via holds the names of the processes that the state came through, from the one
+	// that read the store on. It is empty if this process read the store.
+	via atomic.Pointer[[]string]
 }
 
 // NewHub returns an empty hub.
@@ -161,6 +164,17 @@
 	h.changed = make(chan struct{})
 }
 
+func (h *Hub) setVia(names []string) { h.via.Store(&names) }
+
+// response returns a response with the given state.
+func (h *Hub) response(revision int64, syncedAt time.Time) *Response {
+	r := &Response{Revision: revision, AgeMillis: time.Since(syncedAt).Milliseconds(), Events: []Event{}}
+	if via := h.via.Load(); via != nil {
+		r.Via = *via
+	}
+	return r
+}
+
 // Revision returns the highest revision received.
 func (h *Hub) Revision() int64 {
 	h.mu.Lock()
--- a/feed/members.go
+++ b/feed/members.go
@@ -96,6 +96,9 @@
 	return len(r.members) + 1
 }
 
+// Name implements Members.
+func (r *MemberRegistry) Name() string { return r.self.Name }
+
 // Leader implements Members. The leader is one of the processes of the region with the
 // fastest link, since it serves all others. Among them, its name has the highest hash,
 // so that all processes with the same members agree.
--- a/feed/serve.go
+++ b/feed/serve.go
@@ -20,8 +20,11 @@
 type Response struct {
 	Revision int64 `json:"revision"`
 	// AgeMillis is the time since the state was last read from the store.
-	AgeMillis int64   `json:"age_ms"`
-	Events    []Event `json:"events"`
+	AgeMillis int64 `json:"age_ms"`
+	// Via holds the names of the processes that the state came through before the one
+	// that responds. Processes of earlier versions do not set it.
+	Via    []string `json:"via,omitempty"`
+	Events []Event  `json:"events"`
 }
 
 func (r *Response) age() time.Duration { return time.Duration(r.AgeMillis) * time.Millisecond }
@@ -52,25 +55,30 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+PathList, func(w http.ResponseWriter, _ *http.Request) {
 		kvs, revision, syncedAt := h.list()
-		response := Response{Revision: revision, AgeMillis: time.Since(syncedAt).Milliseconds(), Events: []Event{}}
+		response := h.response(revision, syncedAt)
 		for i := range kvs {
 			response.Events = append(response.Events, newEvent(&kvs[i], false))
 		}
-		writeResponse(w, &response)
+		writeResponse(w, response)
 	})
 	mux.HandleFunc("GET "+PathWatch, h.serveWatch)
 	return mux
 }
 
 // serveWatch responds with the changes after a revision. If there are none, it
-// waits for them up to watchTimeout and then responds without events.
+// waits for them up to the time that the request states, at most watchTimeout, and
+// then responds without events.
 func (h *Hub) serveWatch(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	timeout := time.NewTimer(watchTimeout)
+	wait := watchTimeout
+	if millis, err := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64); err == nil && millis >= 0 {
+		wait = min(wait, time.Duration(millis)*time.Millisecond)
+	}
+	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for {
 		events, revision, syncedAt, changed, ok := h.changesSince(after)
@@ -89,11 +97,11 @@
 				return
 			}
 		}
-		response := Response{Revision: revision, AgeMillis: time.Since(syncedAt).Milliseconds(), Events: []Event{}}
+		response := h.response(revision, syncedAt)
 		for i := range events {
 			response.Events = append(response.Events, newEvent(&events[i].KV, events[i].Deleted))
 		}
-		writeResponse(w, &response)
+		writeResponse(w, response)
 		return
 	}
 }
--- a/feed/source.go
+++ b/feed/source.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -33,8 +34,15 @@
 	// maxStateAge is the maximum time since a hub's state was read from the store.
 	// A hub whose state is older counts as a failed upstream.
 	maxStateAge = 1500 * time.Millisecond
-	// avoidPeriod is how long a failed upstream is ranked behind the others.
-	avoidPeriod = 4 * time.Second
+	// firstReadTimeout limits the time until the response to a read that does not wait
+	// for changes starts.
+	firstReadTimeout = 600 * time.Millisecond
+	// minAvoidPeriod and maxAvoidPeriod bound how long a failed upstream is ranked
+	// behind the others. The period doubles with consecutive failures.
+	minAvoidPeriod = 500 * time.Millisecond
+	maxAvoidPeriod = 4 * time.Second
+	// probeTimeout limits a probe of a failed upstream.
+	probeTimeout = time.Second
 )
 
 // Member is a process whose hub other processes can read.
@@ -49,6 +57,8 @@
 
 // Members lists the processes that a Source can read from.
 type Members interface {
+	// Name returns the name of this process.
+	Name() string
 	// Leader returns the process that reads the store for the region of this
 	// process. It returns nil if that is this process itself; a process that knows
 	// no other process of its region is the leader.
@@ -68,14 +78,22 @@
 	logger  log.Logger
 
 	mu sync.Mutex
-	// avoidUntil maps the names of failed upstreams to the end of their avoidPeriod.
-	avoidUntil map[string]time.Time
+	// failed holds the upstreams whose last read or probe failed, by name.
+	failed map[string]*failedUpstream
 	// current is the name of the upstream that last returned a state, currentAge the
 	// age that the state had when it was received.
 	current    string
 	currentAge time.Duration
 }
 
+// failedUpstream is the state of an upstream whose last read or probe failed.
+type failedUpstream struct {
+	failures   int
+	failedAt   time.Time
+	avoidUntil time.Time
+	probing    bool
+}
+
 // Current returns the name of the upstream that last returned a state, and the age
 // that the state had when it was received.
 func (s *Source) Current() (string, time.Duration) {
@@ -86,7 +104,7 @@
 
 // NewSource returns a source that feeds a hub.
 func NewSource(store kvstore.Store, hub *Hub, members Members, client *http.Client, logger log.Logger) *Source {
-	return &Source{Store: store, hub: hub, members: members, http: client, logger: logger, avoidUntil: map[string]time.Time{}}
+	return &Source{Store: store, hub: hub, members: members, http: client, logger: logger, failed: map[string]*failedUpstream{}}
 }
 
 // upstream is a process to read from, or the store if member is nil.
@@ -100,30 +118,48 @@
 }
 
 // upstreams returns the upstreams in order of preference: the leader, the
-// store, then the other processes. Those that failed within avoidPeriod come
-// last.
-func (s *Source) upstreams() []upstream {
-	var ranked []upstream
+// store, then the other processes, the current upstream first. Those that failed
+// come last, the longest ago first. The leader and the store count as failed until a
+// probe or a read succeeds: a read of an upstream that does not respond would delay
+// changes that another one has. upstreams starts the probes that are due.
+func (s *Source) upstreams(ctx context.Context) []upstream {
+	var preferred []upstream
 	if l := s.members.Leader(); l != nil {
-		ranked = append(ranked, upstream{l})
+		preferred = append(preferred, upstream{l})
 	}
-	ranked = append(ranked, upstream{})
+	preferred = append(preferred, upstream{})
 	others := s.members.Others()
-	for i := range others {
-		ranked = append(ranked, upstream{&others[i]})
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	var healthy, failing []upstream
-	for _, u := range ranked {
-		if now.Before(s.avoidUntil[u.name()]) {
-			failing = append(failing, u)
+	var healthy, failed []upstream
+	for _, u := range preferred {
+		f := s.failed[u.name()]
+		if f == nil {
+			healthy = append(healthy, u)
+			continue
+		}
+		failed = append(failed, u)
+		if !f.probing && now.After(f.avoidUntil) {
+			f.probing = true
+			go s.probe(ctx, u)
+		}
+	}
+	if i := slices.IndexFunc(others, func(m Member) bool { return m.Name == s.current }); i > 0 {
+		others[0], others[i] = others[i], others[0]
+	}
+	for i := range others {
+		u := upstream{&others[i]}
+		if f := s.failed[u.name()]; f != nil && now.Before(f.avoidUntil) {
+			failed = append(failed, u)
 			continue
 		}
 		healthy = append(healthy, u)
 	}
-	return append(healthy, failing...)
+	slices.SortStableFunc(failed, func(a, b upstream) int {
+		return s.failed[a.name()].failedAt.Compare(s.failed[b.name()].failedAt)
+	})
+	return append(healthy, failed...)
 }
 
 // maxAttempts is the maximum number of upstreams that one Range call tries, and
@@ -134,13 +170,54 @@
 func (s *Source) markFailed(u upstream, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	if now.After(s.avoidUntil[u.name()]) {
+	if s.failed[u.name()] == nil {
 		var transfer *transferError
 		errors.As(err, &transfer)
 		telemetry.Warn(s.logger, "feed upstream failed", append([]any{"source", u.name(), "err", err, "revision", s.hub.Revision()}, transfer.fields()...)...)
 	}
-	s.avoidUntil[u.name()] = now.Add(avoidPeriod)
+	s.avoid(u)
+}
+
+// avoid extends the time in which an upstream is ranked behind the others. Callers hold
+// the lock.
+func (s *Source) avoid(u upstream) {
+	f := s.failed[u.name()]
+	if f == nil {
+		f = &failedUpstream{}
+		s.failed[u.name()] = f
+	}
+	f.failedAt = time.Now()
+	f.avoidUntil = f.failedAt.Add(min(minAvoidPeriod<<min(f.failures, maxAvoidDoublings), maxAvoidPeriod))
+	f.failures++
+}
+
+// maxAvoidDoublings is the number of doublings from minAvoidPeriod to maxAvoidPeriod.
+const maxAvoidDoublings = 3
+
+// probe reads a small part of the state of a failed upstream, to find out whether it
+// responds again.
+func (s *Source) probe(ctx context.Context, u upstream) {
+	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var err error
+	if u.member == nil {
+		_, err = s.Store.Get(probeCtx, MemberPrefix+s.members.Name())
+	} else {
+		err = s.fetch(probeCtx, u, watchPath(s.hub.Revision(), 0), firstReadTimeout, &Response{})
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.failed[u.name()]
+	if f == nil {
+		return
+	}
+	f.probing = false
+	switch {
+	case err == nil:
+		delete(s.failed, u.name())
+	case ctx.Err() == nil:
+		s.avoid(u)
+	}
 }
 
 // markSucceeded records that an upstream returned a state of the given age.
@@ -152,23 +229,24 @@
 		s.current = u.name()
 	}
 	s.currentAge = age
-	delete(s.avoidUntil, u.name())
+	delete(s.failed, u.name())
 }
 
 // Range implements kvstore.Store. A response whose revision is lower than the
 // hub's counts as a failed read.
 func (s *Source) Range(ctx context.Context, prefix string) ([]kvstore.KV, int64, error) {
 	var lastErr error
-	for i, u := range s.upstreams() {
+	for i, u := range s.upstreams(ctx) {
 		if i >= maxAttempts || ctx.Err() != nil {
 			break
 		}
-		kvs, revision, age, err := s.list(ctx, u, prefix)
+		kvs, revision, age, via, err := s.list(ctx, u, prefix)
 		if err == nil && revision < s.hub.Revision() {
 			err = errors.Newf("feed: stale response: revision %d is lower than that of the hub", revision)
 		}
 		if err == nil {
 			s.hub.lag.Store(int64(age))
+			s.hub.setVia(via)
 			s.markSucceeded(u, age)
 			return kvs, revision, nil
 		}
@@ -179,22 +257,23 @@
 }
 
 // list reads the keys under a prefix from the store, or all keys of another
-// process's hub. It returns the keys, their revision and the age of the state.
-func (s *Source) list(ctx context.Context, u upstream, prefix string) ([]kvstore.KV, int64, time.Duration, error) {
+// process's hub. It returns the keys, their revision, and the age of the state and the
+// processes that it came through.
+func (s *Source) list(ctx context.Context, u upstream, prefix string) (kvs []kvstore.KV, revision int64, age time.Duration, via []string, err error) {
 	if u.member == nil {
 		startedAt := time.Now()
 		kvs, revision, err := s.Store.Range(ctx, prefix)
-		return kvs, revision, time.Since(startedAt), err
+		return kvs, revision, time.Since(startedAt), nil, err
 	}
 	var response Response
-	if err := s.fetch(ctx, u.member.Addr, PathList, &response); err != nil {
-		return nil, 0, 0, err
+	if err := s.fetch(ctx, u, PathList, headerTimeout, &response); err != nil {
+		return nil, 0, 0, nil, err
 	}
-	kvs := make([]kvstore.KV, len(response.Events))
+	kvs = make([]kvstore.KV, len(response.Events))
 	for i := range response.Events {
 		kvs[i] = response.Events[i].kv()
 	}
-	return kvs, response.Revision, response.age(), nil
+	return kvs, response.Revision, response.age(), append(response.Via, u.name()), nil
 }
 
 // Watch implements kvstore.Store. It ends when ctx ends, when maxAttempts reads
@@ -218,7 +297,7 @@
 	after := from - 1
 	failures := 0
 	for ctx.Err() == nil {
-		u := s.upstreams()[0]
+		u := s.upstreams(ctx)[0]
 		var err error
 		if u.member == nil {
 			err = s.watchStore(ctx, prefix, &after, out, &failures)
@@ -255,13 +334,14 @@
 		}
 		*failures = 0
 		s.markSucceeded(upstream{}, batch.Age)
+		s.hub.setVia(nil)
 		*after = max(*after, batch.Revision)
 		select {
 		case out <- batch:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		if s.upstreams()[0].member != nil {
+		if s.upstreams(ctx)[0].member != nil {
 			return nil
 		}
 		select {
@@ -273,15 +353,21 @@
 }
 
 // watchMember sends one watch request to another process and forwards the
-// changes it returns. On success it advances after and resets failures.
+// changes it returns. On success it advances after and resets failures. The first read
+// of an upstream does not wait for changes, so that one that is as stale as this process
+// delays it by a round trip only.
 func (s *Source) watchMember(ctx context.Context, u upstream, after *int64, out chan<- kvstore.WatchBatch, failures *int) error {
 	var response Response
-	path := PathWatch + "?after=" + strconv.FormatInt(*after, 10)
-	if err := s.fetch(ctx, u.member.Addr, path, &response); err != nil {
+	wait, timeout := watchTimeout, headerTimeout
+	if current, _ := s.Current(); current != u.name() {
+		wait, timeout = 0, firstReadTimeout
+	}
+	if err := s.fetch(ctx, u, watchPath(*after, wait), timeout, &response); err != nil {
 		return err
 	}
 	*failures = 0
 	s.markSucceeded(u, response.age())
+	s.hub.setVia(append(response.Via, u.name()))
 	*after = max(*after, response.Revision)
 	batch := kvstore.WatchBatch{Revision: response.Revision, Age: response.age()}
 	for i := range response.Events {
@@ -294,13 +380,19 @@
 	return nil
 }
 
-// fetch sends a request to the hub at addr and decodes the response. The age in the
-// response includes the duration of the transfer. fetch fails if the hub's state was
-// older than maxStateAge when the response started.
-func (s *Source) fetch(ctx context.Context, addr, path string, response *Response) error {
-	transfer := httpclient.NewTransfer(ctx, headerTimeout, idleTimeout, transferLimit)
+// watchPath returns the path and query of a request for the changes after a revision.
+func watchPath(after int64, wait time.Duration) string {
+	return PathWatch + "?after=" + strconv.FormatInt(after, 10) + "&wait_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
+}
+
+// fetch sends a request to the hub of a process and decodes the response, which must
+// start within timeout. The age in the response includes the duration of the transfer.
+// fetch fails if the hub's state was older than maxStateAge when the response started,
+// or if it came through this process.
+func (s *Source) fetch(ctx context.Context, u upstream, path string, timeout time.Duration, response *Response) error {
+	transfer := httpclient.NewTransfer(ctx, timeout, idleTimeout, transferLimit)
 	defer transfer.Stop()
-	req, err := http.NewRequestWithContext(transfer.Context(), http.MethodGet, "http://"+addr+path, nil)
+	req, err := http.NewRequestWithContext(transfer.Context(), http.MethodGet, "http://"+u.member.Addr+path, nil)
 	if err != nil {
 		return errors.Wrap(err, "feed: create request")
 	}
@@ -324,10 +416,17 @@
 	if response.age() > maxStateAge {
 		return errors.Newf("feed: stale state, %v old", response.age())
 	}
+	if slices.Contains(response.Via, s.members.Name()) {
+		return errLoop
+	}
 	response.AgeMillis += took.Milliseconds()
 	return nil
 }
 
+// errLoop is returned for a state that came through this process: it holds nothing new,
+// and reading it would hide that no process of the loop reads the store.
+var errLoop = errors.New("feed: state came through this process")
+
 // transferError is the error of a response body that was not received completely.
 type transferError struct {
 	err error
