gateway, platform: log the shared parts of a prompt at a crash

The line of a crashed target did not tell which parts its requests had in common, nor whether a request had begun to answer. Without both, the hypotheses in docs/incidents/inc-18-budget.md cannot be told apart.

No logic changes.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/quetzalglade/quetzalglade/quarantine"
@@ -47,7 +48,8 @@
 // checkCrash probes a target after an attempt failed. If the target accepts no
 // connection, checkCrash records a crash with the fingerprint of the request.
 // It ignores targets that are leaving, since they stop without a crash.
-func (g *Gateway) checkCrash(req *request, t *registry.Target) {
+// The argument events is the number of events that the client has received.
+func (g *Gateway) checkCrash(req *request, t *registry.Target, events int) {
 	if t.Load.IsLeaving() {
 		return
 	}
@@ -67,7 +69,7 @@
 		marks := g.quarantine.RecordCrash(crashID, []string{fingerprint}, time.Now())
 		g.quarantine.Enqueue(marks)
 		telemetry.Info(g.opts.Logger, "target crashed", "target", t.ID, "request", req.ID, "fingerprint", fingerprint,
-			"status", g.quarantine.Status(fingerprint, time.Now()).String())
+			"status", g.quarantine.Status(fingerprint, time.Now()).String(), "parts", strings.Join(req.SharedParts, ","), "events", events)
 	}()
 }
 
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -27,6 +27,9 @@
 	PromptTokens int
 	MaxOutput    int
 	OutputHint   int
+	// SharedParts are the IDs of the parts of the prompt that other requests may
+	// share, in the order of the prompt.
+	SharedParts []string
 }
 
 // AttemptMeta is the metadata that a target receives with a request.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -176,7 +176,7 @@
 			return segmentNotRun, err
 		}
 		if ctx.Err() == nil {
-			s.g.checkCrash(s.req, seg.target)
+			s.g.checkCrash(s.req, seg.target, s.deliveredEvents)
 		}
 		return segmentBroken, err
 	}
@@ -201,7 +201,7 @@
 		return segmentDone, nil
 	}
 	if ctx.Err() == nil && !errors.Is(err, errSwitch) {
-		s.g.checkCrash(s.req, seg.target)
+		s.g.checkCrash(s.req, seg.target, s.deliveredEvents)
 	}
 	telemetry.Info(s.g.opts.Logger, "stream segment broken", "request", s.req.ID, "target", seg.target.ID, "err", err, "events", s.deliveredEvents,
 		"leaving", seg.target.Load.IsLeaving(), "client", context.Cause(ctx))
