--- a/internal/platformtest/worker.go
+++ b/internal/platformtest/worker.go
@@ -71,6 +71,9 @@
 	active   int
 	// crashBody is the request body that makes the worker crash, if not empty.
 	crashBody string
+	// crashPart is the ID of the part of a prompt that makes the worker crash, if not
+	// empty.
+	crashPart string
 	workers   *WorkerSet
 }
 
@@ -149,10 +152,18 @@
 	w.crashBody = body
 }
 
-func (w *Worker) crashesOn(body string) bool {
+// CrashOnPart makes the worker crash on requests with the given part in their prompt.
+func (w *Worker) CrashOnPart(id string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.crashBody != "" && w.crashBody == body
+	w.crashPart = id
+}
+
+func (w *Worker) crashesOn(r *http.Request, body string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.crashBody != "" && w.crashBody == body ||
+		w.crashPart != "" && strings.Contains(r.Header.Get("X-Prompt-Prefix"), w.crashPart+":")
 }
 
 // DropKVCopies removes all copies of KV caches that the worker holds.
@@ -232,7 +243,7 @@
 	w.mu.Lock()
 	w.runs = append(w.runs, Run{ID: id, Path: r.RequestURI, Body: body, Header: r.Header.Clone(), FirstEvent: from})
 	w.mu.Unlock()
-	if w.crashesOn(body) {
+	if w.crashesOn(r, body) {
 		_ = w.server.Listener.Close()
 		panic(http.ErrAbortHandler)
 	}
