gateway, quarantine, decision: hold the part of prompts that crashes targets

Cause: the quarantine counts crashes by a request's whole content. No two of these requests are alike, so none ever reaches its threshold; only a part of their prompts is common.

Change: a target that refuses connections after an attempt broke before it survived the begin of an answer is evidence against all shared parts of the prompt; an answer that went on for 0.5 s, or ended, is evidence for them, since the part crashes every target. decision.CrashingParts holds the part that explains most crashes since its last sound run, from three on, takes its crashes out and goes on; of parts with the same crashes, those that were sound last are spared. Gateways send evidence to each other at once and write it to the store, so that it is joined with the store away and known after a restart. A held part refuses requests, ends those that wait for their first event, and keeps broken ones from going on elsewhere. Until the fifth crash one gateway, by a claim in the store, may try the part again after 4 s or more, so that a wrong verdict ends; crashes count for 10 minutes.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -111,7 +111,7 @@
 	if err != nil {
 		g.recordFailure(ctx, req, &o)
 		if at.sent && ctx.Err() == nil {
-			g.checkCrash(req, t, 0)
+			g.checkCrash(req, t, 0, false)
 		}
 		return o
 	}
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -4,10 +4,18 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalglade/quetzalglade/decision"
+	"github.com/quetzalglade/quetzalglade/internal/httpclient"
 	"github.com/quetzalglade/quetzalglade/quarantine"
 	"github.com/quetzalglade/quetzalglade/registry"
 	"github.com/quetzalglade/quetzalglade/result"
@@ -45,11 +53,76 @@
 	return result.New(result.Quarantined, result.RanNo, "this content stopped several targets")
 }
 
+// heldPartError returns an error if a part of the request's prompt is held because it
+// crashed targets, otherwise nil. A request that is the trial of a held part passes.
+func (g *Gateway) heldPartError(ctx context.Context, req *request) *result.Error {
+	part, held, ok := g.parts.Held(req.SharedParts)
+	if !ok || g.parts.ClaimTrial(ctx, part, held) {
+		return nil
+	}
+	failure := result.New(result.Quarantined, result.RanNo, "a part of the prompt stopped several targets")
+	if at, ok := held.TrialAt(); ok {
+		failure = failure.RetryAfter(max(time.Until(at), minTrialRetryAfter))
+	}
+	return failure
+}
+
+// minTrialRetryAfter is the shortest delay after which clients are asked to retry a
+// request with a held part. It covers the trial of the part.
+const minTrialRetryAfter = time.Second
+
+// soundRunTime is the time after the first event of an answer after which the answer
+// counts as one that its target survived.
+const soundRunTime = 500 * time.Millisecond
+
+// sendPartEvidence sends evidence to all other gateways, without waiting. A gateway that
+// it does not reach receives it through the store.
+func (g *Gateway) sendPartEvidence(evidence []decision.PartEvidence) {
+	others := g.members.Others()
+	go func() {
+		limiter := make(chan struct{}, maxEvidenceSends)
+		for i := range others {
+			limiter <- struct{}{}
+			go func() {
+				defer func() { <-limiter }()
+				ctx, cancel := context.WithTimeout(context.Background(), evidenceSendTimeout)
+				defer cancel()
+				resp, err := httpclient.SendJSON(ctx, g.opts.PeerClient, http.MethodPost, "http://"+others[i].Addr+pathPartEvidence, evidence)
+				if err != nil {
+					telemetry.Info(g.opts.Logger, "sending part evidence failed", "to", others[i].Name, "err", err)
+					return
+				}
+				httpclient.CloseBody(resp)
+			}()
+		}
+	}()
+}
+
+// Path and limits of the exchange of part evidence between gateways.
+const (
+	pathPartEvidence    = "/quarantine/v1/parts"
+	evidenceSendTimeout = time.Second
+	maxEvidenceSends    = 16
+	maxEvidenceBytes    = 256 << 10
+)
+
+// handlePartEvidence receives evidence from another gateway.
+func (g *Gateway) handlePartEvidence(w http.ResponseWriter, r *http.Request) {
+	var evidence []decision.PartEvidence
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxEvidenceBytes)).Decode(&evidence); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	g.parts.Merge(evidence...)
+}
+
 // checkCrash probes a target after an attempt failed. If the target accepts no
-// connection, checkCrash records a crash with the fingerprint of the request.
-// It ignores targets that are leaving, since they stop without a crash.
-// The argument events is the number of events that the client has received.
-func (g *Gateway) checkCrash(req *request, t *registry.Target, events int) {
+// connection, checkCrash records a crash with the fingerprint of the request, and, if
+// its VM refuses the connection, with the shared parts of its prompt. The latter are not
+// recorded if the target has survived the begin of the answer. checkCrash ignores targets
+// that are leaving, since they stop without a crash. The argument events is the number of
+// events that the client has received.
+func (g *Gateway) checkCrash(req *request, t *registry.Target, events int, survivedBegin bool) {
 	if t.Load.IsLeaving() {
 		return
 	}
@@ -58,7 +131,8 @@
 		time.Sleep(crashProbeDelay)
 		ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 		defer cancel()
-		if conn, err := g.connPool.DialNew(ctx, t.Addr); err == nil {
+		conn, err := g.connPool.DialNew(ctx, t.Addr)
+		if err == nil {
 			conn.Close()
 			return
 		}
@@ -66,10 +140,13 @@
 			return
 		}
 		crashID := t.ID + "/" + strconv.FormatInt(t.StartMillis, 10)
+		if !survivedBegin && errors.Is(err, syscall.ECONNREFUSED) {
+			g.parts.RecordCrash(crashID, req.SharedParts)
+		}
 		marks := g.quarantine.RecordCrash(crashID, []string{fingerprint}, time.Now())
 		g.quarantine.Enqueue(marks)
 		telemetry.Info(g.opts.Logger, "target crashed", "target", t.ID, "request", req.ID, "fingerprint", fingerprint,
-			"status", g.quarantine.Status(fingerprint, time.Now()).String(), "parts", strings.Join(req.SharedParts, ","), "events", events)
+			"status", g.quarantine.Status(fingerprint, time.Now()).String(), "parts", strings.Join(req.SharedParts, ","), "events", events, "err", err)
 	}()
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,6 +91,7 @@
 	feedHub        *feed.Hub
 	members        *feed.MemberRegistry
 	quarantine     *quarantine.Keeper
+	parts          *quarantine.PartKeeper
 	feedSource     *feed.Source
 	connPool       *httpwire.Pool
 	placementCosts decision.PlacementCosts
@@ -121,6 +122,8 @@
 	g.feedHub.Subscribe(feed.MemberPrefix, g.members)
 	g.quarantine = quarantine.NewKeeper(opts.Store, opts.Logger, false)
 	g.feedHub.Subscribe(quarantine.Prefix, g.quarantine)
+	g.parts = quarantine.NewPartKeeper(opts.Store, opts.Logger, g.sendPartEvidence)
+	g.feedHub.Subscribe(quarantine.PartPrefix, g.parts)
 	g.feedSource = feed.NewSource(opts.Store, g.feedHub, g.members, opts.PeerClient, opts.Logger)
 	g.retryBudgets.memberCount = g.members.Count
 	g.retryBudgets.ratio = opts.RetryRatio
@@ -139,6 +142,7 @@
 	supervisor.Add(&storeFollower{store: g.feedSource, follower: g.feedHub})
 	supervisor.Add(g.members)
 	supervisor.Add(g.quarantine)
+	supervisor.Add(g.parts)
 	supervisor.Add(&idlePruner{pool: g.connPool})
 	if g.opts.SidecarWatcher != nil {
 		supervisor.Add(&loadCollector{g: g, watcher: g.opts.SidecarWatcher, port: g.opts.SidecarPort})
@@ -192,11 +196,13 @@
 	telemetry.Warn(g.opts.Logger, "supervisor event", "event", e.String())
 }
 
-// peerHandler serves the feed for other gateways and the metrics page.
+// peerHandler serves the feed and the evidence of prompt parts for other gateways, and
+// the metrics page.
 func (g *Gateway) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", g.metrics.Handler())
 	mux.Handle("/feed/", g.feedHub.Handler())
+	mux.HandleFunc("POST "+pathPartEvidence, g.handlePartEvidence)
 	return mux
 }
 
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -92,7 +92,10 @@
 	header := endToEndHeaders(r.Header)
 	g.opts.Codec.StripInternalHeaders(header)
 	req.upstream = httpwire.Request{Method: r.Method, Path: r.RequestURI, Host: r.Host, Header: header, Body: req.upstream.Body}
-	return req, g.quarantineError(req)
+	if failure := g.quarantineError(req); failure != nil {
+		return req, failure
+	}
+	return req, g.heldPartError(r.Context(), req)
 }
 
 func authenticate(table *routing.Table, req *request) *result.Error {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/quetzalglade/quetzalglade/internal/httpwire"
+	"github.com/quetzalglade/quetzalglade/quarantine"
 	"github.com/quetzalglade/quetzalglade/registry"
 	"github.com/quetzalglade/quetzalglade/result"
 	"github.com/quetzalglade/quetzalglade/telemetry"
@@ -55,6 +56,11 @@
 	// the request cannot be migrated.
 	startedAt time.Time
 	migration *segmentMigration
+	// waiting is registered until the answer begins. firstEventAt is when it began.
+	waiting      *quarantine.PartRequest
+	firstEventAt time.Time
+	// recordedSound is set once the target has survived the begin of the answer.
+	recordedSound bool
 }
 
 // segmentResult states how a segment ended.
@@ -111,6 +117,10 @@
 // but did not end the request, or nil if there is none. The argument n is the
 // number of segments before seg.
 func (s *streamRequest) nextSegment(seg *segment, segResult segmentResult, n int) *segment {
+	if _, _, held := s.g.parts.Held(s.req.SharedParts); held {
+		s.mayHaveRun = s.mayHaveRun || segResult == segmentBroken
+		return nil
+	}
 	if segResult == segmentBroken {
 		s.mayHaveRun = true
 		if !s.retrySpent {
@@ -164,6 +174,10 @@
 func (s *streamRequest) serveSegment(ctx context.Context, seg *segment) (segmentResult, error) {
 	load := newSegmentLoad(s.req, seg)
 	defer load.remove()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	seg.waiting = s.g.parts.Watch(s.req.SharedParts, func() { cancel(errPartHeld) })
+	defer s.g.parts.Unwatch(seg.waiting)
 	stopMigration := s.startMigration(ctx, seg)
 	defer stopMigration()
 	at, err := s.g.startAttempt(ctx, s.req, seg.target, seg.attempt())
@@ -176,7 +190,7 @@
 			return segmentNotRun, err
 		}
 		if ctx.Err() == nil {
-			s.g.checkCrash(s.req, seg.target, s.deliveredEvents)
+			s.g.checkCrash(s.req, seg.target, s.deliveredEvents, false)
 		}
 		return segmentBroken, err
 	}
@@ -192,6 +206,7 @@
 	switch {
 	case errors.Is(err, io.EOF):
 		complete = true
+		s.recordSound(seg, true)
 		s.g.clearSuspect(s.req)
 		s.sendHeader(at.resp)
 		s.recordEnd(seg.target, "complete", nil)
@@ -201,7 +216,7 @@
 		return segmentDone, nil
 	}
 	if ctx.Err() == nil && !errors.Is(err, errSwitch) {
-		s.g.checkCrash(s.req, seg.target, s.deliveredEvents)
+		s.g.checkCrash(s.req, seg.target, s.deliveredEvents, seg.recordedSound)
 	}
 	telemetry.Info(s.g.opts.Logger, "stream segment broken", "request", s.req.ID, "target", seg.target.ID, "err", err, "events", s.deliveredEvents,
 		"leaving", seg.target.Load.IsLeaving(), "client", context.Cause(ctx))
@@ -231,6 +246,9 @@
 // errClientWrite marks a failed write to the client.
 var errClientWrite = errors.New("writing to the client failed")
 
+// errPartHeld ends a segment before its first event because a part of the prompt is held.
+var errPartHeld = errors.New("a part of the prompt is held")
+
 // errSwitch ends a segment so that the stream continues at another target.
 var errSwitch = errors.New("stream switches to another target")
 
@@ -245,6 +263,7 @@
 			return err
 		}
 		load.setPrefillPending(false)
+		s.recordSound(seg, false)
 		if s.isRepeated(ev) {
 			continue
 		}
@@ -258,6 +277,23 @@
 	}
 }
 
+// recordSound records that a target has survived the begin of an answer: at the end of
+// the answer, or with an event that arrives later than soundRunTime after the first.
+func (s *streamRequest) recordSound(seg *segment, complete bool) {
+	now := time.Now()
+	if seg.firstEventAt.IsZero() {
+		if complete {
+			return
+		}
+		seg.firstEventAt = now
+		s.g.parts.Unwatch(seg.waiting)
+	}
+	if !seg.recordedSound && (complete || now.Sub(seg.firstEventAt) >= soundRunTime) {
+		seg.recordedSound = true
+		s.g.parts.RecordSound(s.req.SharedParts, seg.firstEventAt)
+	}
+}
+
 // isRepeated reports whether the client has already received an event. A
 // request that resumes after its last event may generate that event again. Ids
 // of events are increasing integers.
--- /dev/null
+++ b/quarantine/part.go
@@ -0,0 +1,301 @@
+package quarantine
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+
+	"github.com/quetzalglade/quetzalglade/decision"
+	"github.com/quetzalglade/quetzalglade/kvstore"
+	"github.com/quetzalglade/quetzalglade/telemetry"
+)
+
+// Prefixes of the store keys of the evidence of prompt parts, and of the claims of trials.
+const (
+	PartPrefix      = "/quetzalglade/parts/"
+	partTrialPrefix = "/quetzalglade/part-trials/"
+)
+
+// Limits of the exchange of evidence.
+const (
+	// maxPendingParts is the size of the queue of evidence to be written to the store.
+	maxPendingParts = 256
+	// verdictTTL is how long a verdict is used before it is computed again, since
+	// crashes expire.
+	verdictTTL = time.Second
+	// trialClaimTimeout limits the claim of a trial, which a request waits for.
+	trialClaimTimeout = 300 * time.Millisecond
+)
+
+// PartSender sends evidence to the other processes. It must not block.
+type PartSender func(evidence []decision.PartEvidence)
+
+// PartKeeper holds the evidence of prompt parts that crash targets, shares it through the
+// store and in messages, and decides which parts are held. It is a suture service that
+// writes to the store, and a kvstore.Follower of the keys under PartPrefix. Its other
+// methods may be called from any goroutine.
+type PartKeeper struct {
+	store  kvstore.Store
+	logger log.Logger
+	send   PartSender
+	// pending holds the parts whose evidence must be written.
+	pending chan string
+
+	mu      sync.Mutex
+	history *decision.PartHistory
+	// trials holds the time of the last crash of each part at its last trial in this
+	// process.
+	trials map[string]int64
+	// waiting holds the requests whose answers have not begun.
+	waiting  map[*PartRequest]bool
+	verdicts atomic.Pointer[partVerdicts]
+}
+
+// PartRequest is a request that runs at a target and whose answer has not begun.
+type PartRequest struct {
+	parts  []string
+	onHeld func()
+}
+
+// partVerdicts are the held parts at one time.
+type partVerdicts struct {
+	held map[string]decision.HeldPart
+	at   time.Time
+}
+
+// NewPartKeeper returns a keeper without evidence.
+func NewPartKeeper(store kvstore.Store, logger log.Logger, send PartSender) *PartKeeper {
+	k := &PartKeeper{
+		store: store, logger: logger, send: send, pending: make(chan string, maxPendingParts),
+		history: decision.NewPartHistory(), trials: map[string]int64{}, waiting: map[*PartRequest]bool{},
+	}
+	k.verdicts.Store(&partVerdicts{})
+	return k
+}
+
+// Reset implements kvstore.Follower. Evidence that is missing from the store is kept.
+func (k *PartKeeper) Reset(kvs []kvstore.KV, _ int64) {
+	for i := range kvs {
+		k.mergeEncoded(&kvs[i])
+	}
+}
+
+// Apply implements kvstore.Follower.
+func (k *PartKeeper) Apply(batch kvstore.WatchBatch) {
+	for i := range batch.Events {
+		if !batch.Events[i].Deleted {
+			k.mergeEncoded(&batch.Events[i].KV)
+		}
+	}
+}
+
+// Disconnected implements kvstore.Follower. Evidence is kept while the store is
+// unavailable.
+func (k *PartKeeper) Disconnected(error) {}
+
+func (k *PartKeeper) mergeEncoded(kv *kvstore.KV) {
+	var e decision.PartEvidence
+	if err := json.Unmarshal(kv.Value, &e); err != nil || e.Part == "" {
+		telemetry.Warn(k.logger, "malformed part evidence", "key", kv.Key, "err", err)
+		return
+	}
+	k.Merge(e)
+}
+
+// Merge adds evidence that was received from another process.
+func (k *PartKeeper) Merge(evidence ...decision.PartEvidence) {
+	k.update(func() []decision.PartEvidence { return k.history.Merge(evidence...) })
+}
+
+// RecordCrash records the crash of a target that ran a request with these parts, whose
+// answer had not begun.
+func (k *PartKeeper) RecordCrash(crashID string, parts []string) {
+	now := time.Now()
+	k.update(func() []decision.PartEvidence { return k.history.RecordCrash(crashID, parts, now) })
+}
+
+// RecordSound records an answer of a request with these parts that began at the given
+// time and that its target survived.
+func (k *PartKeeper) RecordSound(parts []string, began time.Time) {
+	now := time.Now()
+	k.update(func() []decision.PartEvidence { return k.history.RecordSound(parts, began, now) })
+}
+
+// update changes the history, publishes new verdicts and shares the changed evidence.
+func (k *PartKeeper) update(change func() []decision.PartEvidence) {
+	k.mu.Lock()
+	version := k.history.Version()
+	shared := change()
+	if k.history.Version() != version {
+		k.publish(time.Now())
+	}
+	k.mu.Unlock()
+	if len(shared) == 0 {
+		return
+	}
+	k.send(shared)
+	for _, e := range shared {
+		select {
+		case k.pending <- e.Part:
+		default:
+			telemetry.Warn(k.logger, "part evidence not stored, write queue full", "part", e.Part)
+		}
+	}
+}
+
+// publish computes the verdicts. Callers hold the lock.
+func (k *PartKeeper) publish(now time.Time) {
+	previous := k.verdicts.Load()
+	held := k.history.Held(now)
+	k.verdicts.Store(&partVerdicts{held: held, at: now})
+	for part, h := range held {
+		if _, ok := previous.held[part]; !ok {
+			telemetry.Warn(k.logger, "prompt part held", "part", part, "crashes", h.Crashes)
+			k.notifyWaiting(part)
+		}
+	}
+	for part := range previous.held {
+		if _, ok := held[part]; !ok {
+			telemetry.Info(k.logger, "prompt part released", "part", part)
+			delete(k.trials, part)
+		}
+	}
+}
+
+// notifyWaiting calls onHeld of the requests with a part that is held from now on.
+// Callers hold the lock.
+func (k *PartKeeper) notifyWaiting(part string) {
+	for r := range k.waiting {
+		if slices.Contains(r.parts, part) {
+			r.onHeld()
+		}
+	}
+}
+
+// Watch registers a request that is sent to a target. onHeld is called, and must not
+// block, if one of its parts is held before Unwatch.
+func (k *PartKeeper) Watch(parts []string, onHeld func()) *PartRequest {
+	r := &PartRequest{parts: parts, onHeld: onHeld}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.waiting[r] = true
+	return r
+}
+
+// Unwatch ends the registration of a request. Further calls have no effect.
+func (k *PartKeeper) Unwatch(r *PartRequest) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.waiting, r)
+}
+
+// Held returns the first of the parts that is held. ok is false if there is none.
+func (k *PartKeeper) Held(parts []string) (part string, h decision.HeldPart, ok bool) {
+	v := k.verdicts.Load()
+	if len(v.held) > 0 && time.Since(v.at) > verdictTTL {
+		k.mu.Lock()
+		k.publish(time.Now())
+		k.mu.Unlock()
+		v = k.verdicts.Load()
+	}
+	for _, p := range parts {
+		if h, ok := v.held[p]; ok {
+			return p, h, true
+		}
+	}
+	return "", decision.HeldPart{}, false
+}
+
+// ClaimTrial reports whether one request with a held part may run now as a trial. Among
+// all processes, one gets the trial after each crash; without the store, none does.
+func (k *PartKeeper) ClaimTrial(ctx context.Context, part string, h decision.HeldPart) bool {
+	at, ok := h.TrialAt()
+	if !ok || time.Now().Before(at) {
+		return false
+	}
+	k.mu.Lock()
+	isFirst := k.trials[part] != h.LastCrashMillis
+	k.trials[part] = h.LastCrashMillis
+	k.mu.Unlock()
+	if !isFirst {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, trialClaimTimeout)
+	defer cancel()
+	key := partTrialPrefix + part + "/" + strconv.FormatInt(h.LastCrashMillis, 10)
+	lease, err := k.store.Grant(ctx, decision.PartEvidenceTTL)
+	if err != nil {
+		return false
+	}
+	resp, err := k.store.Commit(ctx, kvstore.Txn{
+		Compares: []kvstore.Compare{{Key: key}}, Ops: []kvstore.Op{{Key: key, Value: []byte("{}"), Lease: lease}},
+	})
+	won := err == nil && resp.Applied
+	telemetry.Info(k.logger, "prompt part trial", "part", part, "crashes", h.Crashes, "won", won, "err", err)
+	return won
+}
+
+// Serve implements suture.Service. It writes changed evidence to the store, with retries,
+// until ctx ends.
+func (k *PartKeeper) Serve(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case part := <-k.pending:
+			for failures := 1; ctx.Err() == nil; failures++ {
+				if k.put(ctx, part) == nil {
+					break
+				}
+				backOff(ctx, failures)
+			}
+		}
+	}
+}
+
+// String names the service in the supervisor's log.
+func (k *PartKeeper) String() string { return "prompt parts" }
+
+// put merges the evidence of a part into that in the store.
+func (k *PartKeeper) put(ctx context.Context, part string) error {
+	k.mu.Lock()
+	evidence := k.history.Evidence(part)
+	k.mu.Unlock()
+	kv, err := k.store.Get(ctx, PartPrefix+part)
+	if err != nil {
+		return err
+	}
+	var revision int64
+	if kv != nil {
+		revision = kv.ModRevision
+		var stored decision.PartEvidence
+		if json.Unmarshal(kv.Value, &stored) == nil {
+			if evidence = decision.MergePartEvidence(evidence, stored); evidence.Equal(&stored) {
+				return nil
+			}
+		}
+	}
+	data, err := json.Marshal(evidence)
+	if err != nil {
+		return errors.Wrap(err, "encode part evidence")
+	}
+	lease, err := k.store.Grant(ctx, decision.PartEvidenceTTL)
+	if err != nil {
+		return err
+	}
+	resp, err := k.store.Commit(ctx, kvstore.Txn{
+		Compares: []kvstore.Compare{{Key: PartPrefix + part, ModRevision: revision}},
+		Ops:      []kvstore.Op{{Key: PartPrefix + part, Value: data, Lease: lease}},
+	})
+	if err == nil && !resp.Applied {
+		return errWriteConflict
+	}
+	return err
+}
--- /dev/null
+++ b/quarantine/part_test.go
@@ -0,0 +1,90 @@
+package quarantine_test
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/quetzalglade/quetzalglade/decision"
+	"github.com/quetzalglade/quetzalglade/internal/platformtest"
+	"github.com/quetzalglade/quetzalglade/kvstore"
+	"github.com/quetzalglade/quetzalglade/platform"
+	"github.com/quetzalglade/quetzalglade/quarantine"
+)
+
+// heldCrashes is the number of crashes after which a part is held.
+const heldCrashes = 3
+
+func isHeld(k *quarantine.PartKeeper, part string) bool {
+	_, _, ok := k.Held([]string{"other", part})
+	return ok
+}
+
+// TestPartEvidenceIsShared guards against processes that let a part crash targets which
+// another process already holds: while the store is away, and after a restart.
+func TestPartEvidenceIsShared(t *testing.T) {
+	store := platformtest.NewStore()
+	defer store.Close()
+	client := platform.NewStore(store.Addr(), &http.Client{}, time.Second, 100*time.Millisecond)
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	defer done.Wait()
+	defer cancel()
+	Convey("Evidence reaches another process in messages, and a new one through the store", t, func() {
+		store.SetFaults(platformtest.StoreFaults{ServiceUnavailable: true})
+		var b *quarantine.PartKeeper
+		a := quarantine.NewPartKeeper(client, log.NewNopLogger(), func(e []decision.PartEvidence) { b.Merge(e...) })
+		b = quarantine.NewPartKeeper(client, log.NewNopLogger(), func(e []decision.PartEvidence) { a.Merge(e...) })
+		done.Go(func() { _ = a.Serve(ctx) })
+		held := make(chan struct{}, 1)
+		waiting := b.Watch([]string{"bad"}, func() { held <- struct{}{} })
+		for i, k := range []*quarantine.PartKeeper{a, b, a} {
+			So(isHeld(b, "bad"), ShouldBeFalse)
+			k.RecordCrash(string(rune('1'+i)), []string{"bad"})
+		}
+		So(isHeld(a, "bad"), ShouldBeTrue)
+		So(isHeld(b, "bad"), ShouldBeTrue)
+		So(held, ShouldHaveLength, 1)
+		b.Unwatch(waiting)
+		store.SetFaults(platformtest.StoreFaults{})
+		restarted := quarantine.NewPartKeeper(client, log.NewNopLogger(), func([]decision.PartEvidence) {})
+		done.Go(func() { kvstore.Follow(ctx, client, quarantine.PartPrefix, restarted) })
+		for end := time.Now().Add(20 * time.Second); !isHeld(restarted, "bad") && time.Now().Before(end); {
+			time.Sleep(5 * time.Millisecond)
+		}
+		So(isHeld(restarted, "bad"), ShouldBeTrue)
+	})
+}
+
+// TestOneProcessGetsTheTrial guards against a trial of a held part in each process, which
+// crashes a target each.
+func TestOneProcessGetsTheTrial(t *testing.T) {
+	store := platformtest.NewStore()
+	defer store.Close()
+	client := platform.NewStore(store.Addr(), &http.Client{}, time.Second, 100*time.Millisecond)
+	ctx := context.Background()
+	now := time.Now().UnixMilli()
+	Convey("One of several processes gets the trial when it is due, and none without the store", t, func() {
+		trials := func(crashMillis int64) int {
+			won := 0
+			for range 5 {
+				k := quarantine.NewPartKeeper(client, log.NewNopLogger(), func([]decision.PartEvidence) {})
+				for range 3 {
+					if k.ClaimTrial(ctx, "bad", decision.HeldPart{Crashes: heldCrashes, LastCrashMillis: crashMillis}) {
+						won++
+					}
+				}
+			}
+			return won
+		}
+		So(trials(now), ShouldEqual, 0)
+		So(trials(now-60_000), ShouldEqual, 1)
+		store.SetFaults(platformtest.StoreFaults{ServiceUnavailable: true})
+		So(trials(now-50_000), ShouldEqual, 0)
+	})
+}
