httpwire, httpclient: limit the head of a response

What callers see: a target whose response head never ends fills the memory of the gateway, which ends with all its requests.

Cause: net/http's ReadResponse has no limit of its own; its transport has, but httpwire reads from the connection. The transport's default, 10 MB, is large for 112 MB.

Change: Receive reads at most 64 KiB for the status line, the header and the informational responses before it; the clients of the daemons have the same limit.

--- a/internal/httpclient/httpclient.go
+++ b/internal/httpclient/httpclient.go
@@ -26,6 +26,8 @@
 	idleTimeout = 15 * time.Second
 	// keepAlivePeriod is the interval between TCP keep-alive probes.
 	keepAlivePeriod = 15 * time.Second
+	// maxHeaderBytes limits the header of a response.
+	maxHeaderBytes = 64 << 10
 )
 
 // Options configure a client.
@@ -54,6 +56,8 @@
 			TLSHandshakeTimeout: handshakeTimeout,
 			MaxIdleConnsPerHost: o.IdlePerHost,
 			IdleConnTimeout:     idleTimeout,
+
+			MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -31,6 +31,7 @@
 // Conn is a client connection that carries one request at a time.
 type Conn struct {
 	net    net.Conn
+	input  *headLimiter
 	reader *bufio.Reader
 	addr   string
 	reused bool
@@ -45,6 +46,35 @@
 // request.
 const asyncWriteBytes = 16 << 10
 
+// maxHeadBytes limits the status line and the header of a response, together with the
+// informational responses before it.
+const maxHeadBytes = 64 << 10
+
+// ErrHeadTooLarge is returned by Receive for a response whose head exceeds the limit.
+var ErrHeadTooLarge = errors.New("response head exceeds the size limit")
+
+// headLimiter limits the data that is read while a response head is received.
+type headLimiter struct {
+	r io.Reader
+	// remaining is the number of bytes that may still be read. It applies if limited is
+	// set.
+	remaining int
+	limited   bool
+}
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.r.Read(p)
+	}
+	if l.remaining <= 0 {
+		return 0, ErrHeadTooLarge
+	}
+	n, err := l.r.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
+}
+
 // maxInformationalResponses limits the number of 1xx responses before the final one.
 const maxInformationalResponses = 5
 
@@ -92,6 +122,8 @@
 // skips informational ones. The method is that of the request.
 func (c *Conn) Receive(method string) (*http.Response, error) {
 	req := &http.Request{Method: method}
+	c.input.limited, c.input.remaining = true, maxHeadBytes
+	defer func() { c.input.limited = false }()
 	for range maxInformationalResponses {
 		resp, err := http.ReadResponse(c.reader, req)
 		if err != nil {
--- /dev/null
+++ b/internal/httpwire/conn_test.go
@@ -0,0 +1,74 @@
+package httpwire
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// endlessBytes bounds what the peer of a test sends if the client never stops reading.
+const endlessBytes = 32 << 20
+
+// serveEndless starts a server that sends the given text and then repeats line, until its
+// client closes the connection. sent receives the number of repeated bytes.
+func serveEndless(t *testing.T, start, line string) (addr string, sent <-chan int) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	result := make(chan int, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = fmt.Fprint(c, start)
+		total := 0
+		for total < endlessBytes {
+			n, err := c.Write([]byte(line))
+			total += n
+			if err != nil {
+				break
+			}
+		}
+		result <- total
+	}()
+	return l.Addr().String(), result
+}
+
+// TestEndlessHeadEnds guards against a target whose response head never ends, which fills
+// the memory of the process.
+func TestEndlessHeadEnds(t *testing.T) {
+	heads := map[string][2]string{
+		"status line":             {"", "xxxxxxxxxxxxxxxx"},
+		"header field":            {"HTTP/1.1 200 OK\r\nX-Long: ", "xxxxxxxxxxxxxxxx"},
+		"header fields":           {"HTTP/1.1 200 OK\r\n", "X-Next: 1\r\n"},
+		"informational responses": {"", "HTTP/1.1 103 Early Hints\r\nX-Next: 1\r\n\r\n"},
+	}
+	for name, head := range heads {
+		Convey("An endless "+name+" is an error, and an earlier complete response is not", t, func() {
+			addr, sent := serveEndless(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"+head[0], head[1])
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			conn, err := NewPool(PoolOptions{DialTimeout: time.Second}).Get(ctx, addr)
+			So(err, ShouldBeNil)
+			resp, err := conn.Receive(http.MethodGet)
+			So(err, ShouldBeNil)
+			body, err := ReadBody(resp.Body, 10)
+			So(err, ShouldBeNil)
+			So(string(body), ShouldEqual, "ok")
+			_, err = conn.Receive(http.MethodGet)
+			So(err != nil, ShouldBeTrue)
+			conn.Close()
+			So(<-sent, ShouldBeLessThan, endlessBytes)
+		})
+	}
+}
--- a/internal/httpwire/pool.go
+++ b/internal/httpwire/pool.go
@@ -90,7 +90,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{net: netConn, reader: bufio.NewReaderSize(netConn, readBufferBytes), addr: addr}, nil
+	input := &headLimiter{r: netConn}
+	return &Conn{net: netConn, input: input, reader: bufio.NewReaderSize(input, readBufferBytes), addr: addr}, nil
 }
 
 func (p *Pool) popIdle(addr string) *Conn {
