--- a/gateway/call.go
+++ b/gateway/call.go
@@ -115,7 +115,9 @@
 		}
 		return o
 	}
-	if o.body, o.err = httpwire.ReadBody(at.resp.Body, maxResponseBytes); o.err != nil {
+	buffered := g.responseBuffer.reader(at.resp.Body)
+	defer buffered.release()
+	if o.body, o.err = httpwire.ReadBody(buffered, maxResponseBytes); o.err != nil {
 		g.recordFailure(ctx, req, &o)
 		return o
 	}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -31,12 +31,13 @@
 	id string
 }
 
-// next returns the next event; raw is valid until the next call. The error is
-// io.EOF only if the stream ended cleanly after a complete event.
+// next returns the next event; raw is valid until the next call. Blank lines before an
+// event are part of its raw bytes, so that a stream of them exceeds the size limit. The
+// error is io.EOF only if the stream ended cleanly after a complete event.
 func (e *eventReader) next() (event, error) {
 	e.buf.Reset()
 	var ev event
-	lineContinues := false
+	lineContinues, isBlank := false, true
 	for {
 		line, err := e.r.ReadSlice('\n')
 		e.buf.Write(line)
@@ -44,24 +45,32 @@
 			return event{}, errEventTooLarge
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
-			lineContinues = true
+			lineContinues, isBlank = true, false
 			continue
 		}
 		if err != nil {
-			if errors.Is(err, io.EOF) && e.buf.Len() > 0 {
+			switch {
+			case !errors.Is(err, io.EOF) || e.buf.Len() == 0:
+				return event{}, err
+			case !isBlank || len(line) > 0:
 				return event{}, io.ErrUnexpectedEOF
 			}
-			return event{}, err
+			ev.raw = e.buf.Bytes()
+			return ev, nil
 		}
 		if lineContinues {
 			lineContinues = false
 			continue
 		}
 		text := bytes.TrimRight(line, "\r\n")
+		if len(text) == 0 && isBlank {
+			continue
+		}
 		if len(text) == 0 {
 			ev.raw = e.buf.Bytes()
 			return ev, nil
 		}
+		isBlank = false
 		if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			ev.id = string(bytes.TrimPrefix(id, []byte(" ")))
 		}
--- /dev/null
+++ b/gateway/events_test.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// endlessReader repeats a text and counts the bytes that were read.
+type endlessReader struct {
+	text string
+	read int
+}
+
+func (r *endlessReader) Read(p []byte) (int, error) {
+	n := copy(p, r.text)
+	r.read += n
+	return n, nil
+}
+
+// TestEndlessBytesAreNoEvent guards against a target whose stream never ends and holds no
+// event: it fills the memory, or reaches the client as a stream of blank lines.
+func TestEndlessBytesAreNoEvent(t *testing.T) {
+	for _, text := range []string{"xxxxxxxx", "xxxxxxx\n", "\n", "\r\n"} {
+		Convey("Endless bytes without an event end with an error", t, func() {
+			endless := &endlessReader{text: text}
+			_, err := newEventReader(endless).next()
+			So(err, ShouldEqual, errEventTooLarge)
+			So(endless.read, ShouldBeLessThan, 2*maxEventBytes)
+		})
+	}
+}
+
+// TestStreamKeepsItsBytes guards against a stream that loses bytes, or that ends as
+// complete in the middle of an event.
+func TestStreamKeepsItsBytes(t *testing.T) {
+	readAll := func(text string) (string, error) {
+		reader := newEventReader(strings.NewReader(text))
+		var out strings.Builder
+		for {
+			ev, err := reader.next()
+			if err != nil {
+				return out.String(), err
+			}
+			out.Write(ev.raw)
+		}
+	}
+	Convey("Blank lines before, between and after events are kept", t, func() {
+		for _, text := range []string{"", "id: 1\ndata: a\n\n", "\n\nid: 1\n\n\n\nid: 2\r\n\r\n\n", "\n"} {
+			got, err := readAll(text)
+			So(got, ShouldEqual, text)
+			So(err, ShouldEqual, io.EOF)
+		}
+	})
+	Convey("A stream that ends inside an event is incomplete", t, func() {
+		for _, text := range []string{"id: 1", "id: 1\n", "id: 1\n\nid", "id: 1\n\ndata: x\n", "\nid: 1"} {
+			_, err := readAll(text)
+			So(err, ShouldEqual, io.ErrUnexpectedEOF)
+		}
+	})
+}
+
+// TestEndlessBodiesDoNotFillMemory guards against targets whose bodies never end, which
+// together fill the memory of the process, and against the loss of short responses
+// meanwhile.
+func TestEndlessBodiesDoNotFillMemory(t *testing.T) {
+	Convey("All buffered bodies together are limited, and short ones are read", t, func() {
+		limit := &bufferLimit{}
+		total := 0
+		var bodies []*limitedBody
+		for range 64 {
+			endless := &endlessReader{text: strings.Repeat("x", 32<<10)}
+			body := limit.reader(endless)
+			bodies = append(bodies, body)
+			_, err := io.ReadAll(io.LimitReader(body, maxResponseBytes))
+			So(err == nil || errors.Is(err, errBufferLimit), ShouldBeTrue)
+			total += endless.read
+		}
+		So(total, ShouldBeLessThan, maxBufferedBytes+65*(freeBufferBytes+(64<<10)))
+		data, err := io.ReadAll(limit.reader(strings.NewReader("short")))
+		So(err, ShouldBeNil)
+		So(string(data), ShouldEqual, "short")
+		for _, b := range bodies {
+			b.release()
+		}
+		So(limit.used.Load(), ShouldEqual, 0)
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -99,6 +99,7 @@
 	stopping       atomic.Bool
 	slowdowns      slowdowns
 	retryBudgets   retryBudgets
+	responseBuffer bufferLimit
 }
 
 // New returns a gateway that is not yet serving.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -366,7 +366,9 @@
 // response has a status other than 200 or is unsigned. If a response header was
 // already sent to the client, the stream fails instead.
 func (s *streamRequest) relayFailure(ctx context.Context, at *attempt) {
-	body, err := httpwire.ReadBody(at.resp.Body, maxResponseBytes)
+	buffered := s.g.responseBuffer.reader(at.resp.Body)
+	defer buffered.release()
+	body, err := httpwire.ReadBody(buffered, maxResponseBytes)
 	o := outcome{target: at.target, resp: at.resp, respMeta: at.respMeta, body: body, err: err, sent: true}
 	if err == nil && !at.respMeta.Signed {
 		o.err = errUnsignedResponse
