gateway: do not quarantine the content of an answer that had begun

Cause: each request that a crash interrupts was evidence against its content.

Change: only requests whose answer the target had not survived are recorded.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -118,10 +118,10 @@
 
 // checkCrash probes a target after an attempt failed. If the target accepts no
 // connection, checkCrash records a crash with the fingerprint of the request, and, if
-// its VM refuses the connection, with the shared parts of its prompt. The latter are not
-// recorded if the target has survived the begin of the answer. checkCrash ignores targets
-// that are leaving, since they stop without a crash. The argument events is the number of
-// events that the client has received.
+// its VM refuses the connection, with the shared parts of its prompt. It records neither
+// if the target has survived the begin of the answer: such a request ran beside the cause.
+// checkCrash ignores targets that are leaving, since they stop without a crash. The
+// argument events is the number of events that the client has received.
 func (g *Gateway) checkCrash(req *request, t *registry.Target, events int, survivedBegin bool) {
 	if t.Load.IsLeaving() {
 		return
@@ -140,11 +140,12 @@
 			return
 		}
 		crashID := t.ID + "/" + strconv.FormatInt(t.StartMillis, 10)
+		if !survivedBegin {
+			g.quarantine.Enqueue(g.quarantine.RecordCrash(crashID, []string{fingerprint}, time.Now()))
+		}
 		if !survivedBegin && errors.Is(err, syscall.ECONNREFUSED) {
 			g.parts.RecordCrash(crashID, req.SharedParts)
 		}
-		marks := g.quarantine.RecordCrash(crashID, []string{fingerprint}, time.Now())
-		g.quarantine.Enqueue(marks)
 		telemetry.Info(g.opts.Logger, "target crashed", "target", t.ID, "request", req.ID, "fingerprint", fingerprint,
 			"status", g.quarantine.Status(fingerprint, time.Now()).String(), "parts", strings.Join(req.SharedParts, ","), "events", events, "err", err)
 	}()
--- a/internal/platformtest/worker.go
+++ b/internal/platformtest/worker.go
@@ -24,6 +24,8 @@
 	// BreakAfterEvents closes the connection in the middle of an event, after the
 	// given number of complete events.
 	BreakAfterEvents int
+	// Crash makes the worker crash where BreakAfterEvents closes the connection.
+	Crash bool
 	// RunsWithoutCopy runs the continuation of a stream although the worker holds
 	// no copy of the request's KV cache.
 	RunsWithoutCopy bool
@@ -298,6 +300,9 @@
 		if f.BreakAfterEvents > 0 && i-from >= f.BreakAfterEvents {
 			_, _ = fmt.Fprintf(rw, "id: %d\ndata: half", i)
 			_ = controller.Flush()
+			if f.Crash {
+				_ = w.server.Listener.Close()
+			}
 			panic(http.ErrAbortHandler)
 		}
 		_, _ = fmt.Fprintf(rw, "id: %d\ndata: token %d\n\n", i, i)
