platform: pass the link's bandwidth to gateways in the environment

What callers would see: a gateway of an earlier build that restarts during a release ends at once, again and again, since it does not know the setting link_mbps of the new template.

The setting stays for other deployments.

--- a/cmd/quetzalglade-gateway/main.go
+++ b/cmd/quetzalglade-gateway/main.go
@@ -45,6 +45,9 @@
 	}
 	opts.PeerClient = httpclient.New(httpclient.Options{IdlePerHost: 1})
 	opts.Migrator = platform.NewEngineClient(httpclient.New(httpclient.Options{IdlePerHost: 2}), s.Store.Timeout)
+	if opts.LinkMbps == 0 {
+		opts.LinkMbps = platform.LinkMbps()
+	}
 	opts.Codec = platform.Codec{}
 	opts.ReadyPath = platform.ReadyPath
 	opts.TableKey = platform.ConfigKey
