decision, quarantine: repeat a trial that had no result

What callers would see: a part that is held wrongly stays so for 10 minutes if its only trial has no result, for example since its client left or all targets were full.

Change: trials of the same crash follow each other after 8 s, each claimed by one process.

Evidence: TestOneProcessGetsTheTrial checks that a trial has one winner, also on a second try, and that a later trial has another claim.

--- a/decision/crashpart.go
+++ b/decision/crashpart.go
@@ -18,6 +18,8 @@
 	// firstTrialDelay is the time from the crash that held a part to its first trial.
 	// It doubles with each further crash.
 	firstTrialDelay = 4 * time.Second
+	// trialPeriod is the time after which a trial without a result is repeated.
+	trialPeriod = 8 * time.Second
 	// PartEvidenceTTL is how long a crash counts.
 	PartEvidenceTTL = 10 * time.Minute
 	// maxSoundParts limits the parts whose last sound run is remembered.
@@ -80,6 +82,16 @@
 	return time.UnixMilli(h.LastCrashMillis).Add(firstTrialDelay << max(h.Crashes-minPartCrashes, 0)), true
 }
 
+// Trial returns the ID of the trial that is due at the given time. Trials of the same
+// crash differ by trialPeriod. ok is false if none is due.
+func (h HeldPart) Trial(now time.Time) (id int64, ok bool) {
+	at, ok := h.TrialAt()
+	if !ok || now.Before(at) {
+		return 0, false
+	}
+	return at.Add(now.Sub(at).Truncate(trialPeriod)).UnixMilli(), true
+}
+
 // CrashingParts returns the parts that explain the crashes in the evidence. All parts of
 // a request are present at its crash, and requests of other parts run beside it. The
 // part with most crashes since its last sound run is held, and its crashes no longer
--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -50,8 +50,7 @@
 
 	mu      sync.Mutex
 	history *decision.PartHistory
-	// trials holds the time of the last crash of each part at its last trial in this
-	// process.
+	// trials holds the ID of the last trial of each part that this process claimed.
 	trials map[string]int64
 	// waiting holds the requests whose answers have not begun.
 	waiting  map[*PartRequest]bool
@@ -214,22 +213,22 @@
 }
 
 // ClaimTrial reports whether one request with a held part may run now as a trial. Among
-// all processes, one gets the trial after each crash; without the store, none does.
+// all processes, one gets each trial; without the store, none does.
 func (k *PartKeeper) ClaimTrial(ctx context.Context, part string, h decision.HeldPart) bool {
-	at, ok := h.TrialAt()
-	if !ok || time.Now().Before(at) {
+	id, ok := h.Trial(time.Now())
+	if !ok {
 		return false
 	}
 	k.mu.Lock()
-	isFirst := k.trials[part] != h.LastCrashMillis
-	k.trials[part] = h.LastCrashMillis
+	isFirst := k.trials[part] != id
+	k.trials[part] = id
 	k.mu.Unlock()
 	if !isFirst {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, trialClaimTimeout)
 	defer cancel()
-	key := partTrialPrefix + part + "/" + strconv.FormatInt(h.LastCrashMillis, 10)
+	key := partTrialPrefix + part + "/" + strconv.FormatInt(id, 10)
 	lease, err := k.store.Grant(ctx, decision.PartEvidenceTTL)
 	if err != nil {
 		return false
--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -62,7 +62,8 @@
 }
 
 // TestOneProcessGetsTheTrial guards against a trial of a held part in each process, which
-// crashes a target each.
+// crashes a target each, and against a wrong verdict that stays because the only trial had
+// no result.
 func TestOneProcessGetsTheTrial(t *testing.T) {
 	store := platformtest.NewStore()
 	defer store.Close()
@@ -84,6 +85,12 @@
 		}
 		So(trials(now), ShouldEqual, 0)
 		So(trials(now-60_000), ShouldEqual, 1)
+		So(trials(now-60_000), ShouldEqual, 0)
+		first, ok := decision.HeldPart{Crashes: heldCrashes, LastCrashMillis: now}.Trial(time.UnixMilli(now).Add(5 * time.Second))
+		So(ok, ShouldBeTrue)
+		later, ok := decision.HeldPart{Crashes: heldCrashes, LastCrashMillis: now}.Trial(time.UnixMilli(now).Add(30 * time.Second))
+		So(ok, ShouldBeTrue)
+		So(later, ShouldBeGreaterThan, first)
 		store.SetFaults(platformtest.StoreFaults{ServiceUnavailable: true})
 		So(trials(now-50_000), ShouldEqual, 0)
 	})
