--- a/decision/crashpart.go
+++ b/decision/crashpart.go
@@ -10,12 +10,12 @@
 // Limits of the search for prompt parts that crash targets.
 const (
 	// minPartCrashes is the number of crashes that no other part explains from which a
-	// part is held. A single failure of several targets at once seldom meets requests
+	// part is quarantined. A single failure of several targets at once seldom meets requests
 	// with the same part at so many of them.
 	minPartCrashes = 3
 	// maxTrialCrashes is the number of crashes from which a part gets no trial.
 	maxTrialCrashes = 5
-	// firstTrialDelay is the time from the crash that held a part to its first trial.
+	// firstTrialDelay is the time from the crash that quarantined a part to its first trial.
 	// It doubles with each further crash.
 	firstTrialDelay = 4 * time.Second
 	// trialPeriod is the time after which a trial without a result is repeated.
@@ -65,8 +65,8 @@
 	return counted
 }
 
-// HeldPart is the verdict on a part that crashes targets.
-type HeldPart struct {
+// QuarantinedPart is the verdict on a part that crashes targets.
+type QuarantinedPart struct {
 	// Crashes is the number of crashes that the part explains, LastCrashMillis the time
 	// of the last one in milliseconds since the Unix epoch.
 	Crashes         int
@@ -75,7 +75,7 @@
 
 // TrialAt returns when one request with the part may run, to find out whether the
 // verdict is wrong. ok is false if the part gets no trial.
-func (h HeldPart) TrialAt() (at time.Time, ok bool) {
+func (h QuarantinedPart) TrialAt() (at time.Time, ok bool) {
 	if h.Crashes >= maxTrialCrashes {
 		return time.Time{}, false
 	}
@@ -84,7 +84,7 @@
 
 // Trial returns the ID of the trial that is due at the given time. Trials of the same
 // crash differ by trialPeriod. ok is false if none is due.
-func (h HeldPart) Trial(now time.Time) (id int64, ok bool) {
+func (h QuarantinedPart) Trial(now time.Time) (id int64, ok bool) {
 	at, ok := h.TrialAt()
 	if !ok || now.Before(at) {
 		return 0, false
@@ -94,10 +94,10 @@
 
 // CrashingParts returns the parts that explain the crashes in the evidence. All parts of
 // a request are present at its crash, and requests of other parts run beside it. The
-// part with most crashes since its last sound run is held, and its crashes no longer
+// part with most crashes since its last sound run is quarantined, and its crashes no longer
 // count against others; and so on, while a part explains minPartCrashes of the rest. Of
 // several parts with the same number, those that were sound last are spared.
-func CrashingParts(evidence []PartEvidence, now time.Time) map[string]HeldPart {
+func CrashingParts(evidence []PartEvidence, now time.Time) map[string]QuarantinedPart {
 	unexplained := make(map[string]map[string]int64, len(evidence))
 	sound := make(map[string]int64, len(evidence))
 	for i := range evidence {
@@ -106,7 +106,7 @@
 			sound[evidence[i].Part] = evidence[i].SoundMillis
 		}
 	}
-	held := map[string]HeldPart{}
+	quarantined := map[string]QuarantinedPart{}
 	for len(unexplained) > 0 {
 		parts := slices.SortedFunc(maps.Keys(unexplained), func(a, b string) int {
 			return cmp.Or(-cmp.Compare(len(unexplained[a]), len(unexplained[b])), cmp.Compare(sound[a], sound[b]), cmp.Compare(a, b))
@@ -120,7 +120,7 @@
 			if len(unexplained[p]) != len(unexplained[first]) || sound[p] != sound[first] || !maps.Equal(unexplained[p], unexplained[first]) {
 				continue
 			}
-			held[p] = HeldPart{Crashes: len(unexplained[p]), LastCrashMillis: slices.Max(slices.Collect(maps.Values(unexplained[p])))}
+			quarantined[p] = QuarantinedPart{Crashes: len(unexplained[p]), LastCrashMillis: slices.Max(slices.Collect(maps.Values(unexplained[p])))}
 			maps.Copy(explained, unexplained[p])
 		}
 		for p, crashes := range unexplained {
@@ -130,7 +130,7 @@
 			}
 		}
 	}
-	return held
+	return quarantined
 }
 
 // PartHistory collects the evidence that one process has seen or received. It is not safe
@@ -201,8 +201,8 @@
 	return []PartEvidence{merged}
 }
 
-// Held returns the parts that are held at the given time. It removes expired evidence.
-func (h *PartHistory) Held(now time.Time) map[string]HeldPart {
+// Quarantined returns the parts that are quarantined at the given time. It removes expired evidence.
+func (h *PartHistory) Quarantined(now time.Time) map[string]QuarantinedPart {
 	oldest := now.Add(-PartEvidenceTTL).UnixMilli()
 	maps.DeleteFunc(h.evidence, func(_ string, e PartEvidence) bool {
 		newest := e.SoundMillis
--- a/decision/crashpart_test.go
+++ b/decision/crashpart_test.go
@@ -9,7 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// TestCrashingPartIsTheOneWithoutSoundRuns guards against the hold of parts that sound
+// TestCrashingPartIsTheOneWithoutSoundRuns guards against the quarantine of parts that sound
 // requests share with the part that crashes targets.
 func TestCrashingPartIsTheOneWithoutSoundRuns(t *testing.T) {
 	start := time.UnixMilli(1_000_000_000)
@@ -20,10 +20,10 @@
 		for i := range 3 {
 			h.RecordCrash(fmt.Sprint("crash-", i), []string{"first", "rare", "bad"}, at(1+float64(i)))
 		}
-		held := h.Held(at(4))
-		So(held, ShouldHaveLength, 2)
-		So(held, ShouldContainKey, "rare")
-		So(held, ShouldContainKey, "bad")
+		quarantined := h.Quarantined(at(4))
+		So(quarantined, ShouldHaveLength, 2)
+		So(quarantined, ShouldContainKey, "rare")
+		So(quarantined, ShouldContainKey, "bad")
 	})
 	Convey("A sound run after the crashes clears a part, also one that another process saw", t, func() {
 		h := NewPartHistory()
@@ -35,35 +35,35 @@
 		changed := other.Merge(h.evidence["rare"], h.evidence["bad"])
 		So(changed, ShouldHaveLength, 1)
 		h.Merge(changed...)
-		held := h.Held(at(5))
-		So(held, ShouldHaveLength, 1)
-		So(held, ShouldContainKey, "bad")
+		quarantined := h.Quarantined(at(5))
+		So(quarantined, ShouldHaveLength, 1)
+		So(quarantined, ShouldContainKey, "bad")
 	})
-	Convey("Two parts that crash targets are both held", t, func() {
+	Convey("Two parts that crash targets are both quarantined", t, func() {
 		h := NewPartHistory()
 		for i := range 4 {
 			h.RecordCrash(fmt.Sprint("one-", i), []string{"first", "bad-1"}, at(float64(i)))
 			h.RecordCrash(fmt.Sprint("two-", i), []string{"first", "bad-2"}, at(float64(i)+0.5))
 			h.RecordSound([]string{"first"}, at(float64(i)+0.7), at(float64(i)+0.8))
 		}
-		held := h.Held(at(5))
-		So(held, ShouldHaveLength, 2)
-		So(held["bad-1"].Crashes, ShouldEqual, 4)
-		So(held["bad-2"].Crashes, ShouldEqual, 4)
+		quarantined := h.Quarantined(at(5))
+		So(quarantined, ShouldHaveLength, 2)
+		So(quarantined["bad-1"].Crashes, ShouldEqual, 4)
+		So(quarantined["bad-2"].Crashes, ShouldEqual, 4)
 	})
 	Convey("Crashes expire, and a part with many crashes gets no trial", t, func() {
 		h := NewPartHistory()
 		for i := range 3 {
 			h.RecordCrash(fmt.Sprint("crash-", i), []string{"bad"}, at(float64(i)))
 		}
-		trialAt, ok := h.Held(at(3))["bad"].TrialAt()
+		trialAt, ok := h.Quarantined(at(3))["bad"].TrialAt()
 		So(ok, ShouldBeTrue)
 		So(trialAt, ShouldEqual, at(2).Add(firstTrialDelay))
 		h.RecordCrash("crash-4", []string{"bad"}, at(7))
 		h.RecordCrash("crash-5", []string{"bad"}, at(8))
-		_, ok = h.Held(at(9))["bad"].TrialAt()
+		_, ok = h.Quarantined(at(9))["bad"].TrialAt()
 		So(ok, ShouldBeFalse)
-		So(h.Held(at(9).Add(PartEvidenceTTL)), ShouldBeEmpty)
+		So(h.Quarantined(at(9).Add(PartEvidenceTTL)), ShouldBeEmpty)
 		So(h.evidence, ShouldBeEmpty)
 	})
 	Convey("The memory of sound runs is bounded", t, func() {
@@ -206,20 +206,20 @@
 		badPart = fmt.Sprint("bad-", s.rng.IntN(len(s.bad)))
 		parts = []string{badFirstPart, "middle-bad", badPart}
 	}
-	held := s.gateways[n%len(s.gateways)].Held(now)
-	isHeld := false
+	quarantined := s.gateways[n%len(s.gateways)].Quarantined(now)
+	isQuarantined := false
 	for _, p := range parts {
-		if _, ok := held[p]; ok {
-			isHeld = true
+		if _, ok := quarantined[p]; ok {
+			isQuarantined = true
 		}
 	}
 	if badPart == "" && parts[0] == badFirstPart && s.isSettled(now) {
 		s.sound++
-		if isHeld {
+		if isQuarantined {
 			s.refused++
 		}
 	}
-	if isHeld {
+	if isQuarantined {
 		return
 	}
 	if c := s.crashes[badPart]; len(c) >= fifthCrash && now.After(c[fifthCrash-1].Add(stableWindow)) {
@@ -233,10 +233,10 @@
 	}
 }
 
-// TestCrashingPartIsHeldInSeededHistories guards against requests that go on crashing
+// TestCrashingPartIsQuarantinedInSeededHistories guards against requests that go on crashing
 // targets, and against the refusal of sound requests, in fleets of several sizes with
 // several delays between their gateways.
-func TestCrashingPartIsHeldInSeededHistories(t *testing.T) {
+func TestCrashingPartIsQuarantinedInSeededHistories(t *testing.T) {
 	for _, gateways := range []int{1, 4, 28, largeFleet} {
 		seeds := uint64(4)
 		if gateways == largeFleet {
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -53,22 +53,22 @@
 	return result.New(result.Quarantined, result.RanNo, "this content stopped several targets")
 }
 
-// heldPartError returns an error if a part of the request's prompt is held because it
-// crashed targets, otherwise nil. A request that is the trial of a held part passes.
-func (g *Gateway) heldPartError(ctx context.Context, req *request) *result.Error {
-	part, held, ok := g.parts.Held(req.SharedParts)
-	if !ok || g.parts.ClaimTrial(ctx, part, held) {
+// quarantinedPartError returns an error if a part of the request's prompt is quarantined because it
+// crashed targets, otherwise nil. A request that is the trial of a quarantined part passes.
+func (g *Gateway) quarantinedPartError(ctx context.Context, req *request) *result.Error {
+	part, quarantined, ok := g.parts.Quarantined(req.SharedParts)
+	if !ok || g.parts.ClaimTrial(ctx, part, quarantined) {
 		return nil
 	}
 	failure := result.New(result.Quarantined, result.RanNo, "a part of the prompt stopped several targets")
-	if at, ok := held.TrialAt(); ok {
+	if at, ok := quarantined.TrialAt(); ok {
 		failure = failure.RetryAfter(max(time.Until(at), minTrialRetryAfter))
 	}
 	return failure
 }
 
 // minTrialRetryAfter is the shortest delay after which clients are asked to retry a
-// request with a held part. It covers the trial of the part.
+// request with a quarantined part. It covers the trial of the part.
 const minTrialRetryAfter = time.Second
 
 // soundRunTime is the time after the first event of an answer after which the answer
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -95,7 +95,7 @@
 	if failure := g.quarantineError(req); failure != nil {
 		return req, failure
 	}
-	return req, g.heldPartError(r.Context(), req)
+	return req, g.quarantinedPartError(r.Context(), req)
 }
 
 func authenticate(table *routing.Table, req *request) *result.Error {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -117,7 +117,7 @@
 // but did not end the request, or nil if there is none. The argument n is the
 // number of segments before seg.
 func (s *streamRequest) nextSegment(seg *segment, segResult segmentResult, n int) *segment {
-	if _, _, held := s.g.parts.Held(s.req.SharedParts); held {
+	if _, _, quarantined := s.g.parts.Quarantined(s.req.SharedParts); quarantined {
 		s.mayHaveRun = s.mayHaveRun || segResult == segmentBroken
 		return nil
 	}
@@ -176,7 +176,7 @@
 	defer load.remove()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	seg.waiting = s.g.parts.Watch(s.req.SharedParts, func() { cancel(errPartHeld) })
+	seg.waiting = s.g.parts.Watch(s.req.SharedParts, func() { cancel(errPartQuarantined) })
 	defer s.g.parts.Unwatch(seg.waiting)
 	stopMigration := s.startMigration(ctx, seg)
 	defer stopMigration()
@@ -246,8 +246,8 @@
 // errClientWrite marks a failed write to the client.
 var errClientWrite = errors.New("writing to the client failed")
 
-// errPartHeld ends a segment before its first event because a part of the prompt is held.
-var errPartHeld = errors.New("a part of the prompt is held")
+// errPartQuarantined ends a segment before its first event because a part of the prompt is quarantined.
+var errPartQuarantined = errors.New("a part of the prompt is quarantined")
 
 // errSwitch ends a segment so that the stream continues at another target.
 var errSwitch = errors.New("stream switches to another target")
--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -38,7 +38,7 @@
 type PartSender func(evidence []decision.PartEvidence)
 
 // PartKeeper holds the evidence of prompt parts that crash targets, shares it through the
-// store and in messages, and decides which parts are held. It is a suture service that
+// store and in messages, and decides which parts are quarantined. It is a suture service that
 // writes to the store, and a kvstore.Follower of the keys under PartPrefix. Its other
 // methods may be called from any goroutine.
 type PartKeeper struct {
@@ -59,14 +59,14 @@
 
 // PartRequest is a request that runs at a target and whose answer has not begun.
 type PartRequest struct {
-	parts  []string
-	onHeld func()
+	parts        []string
+	onQuarantine func()
 }
 
-// partVerdicts are the held parts at one time.
+// partVerdicts are the quarantined parts at one time.
 type partVerdicts struct {
-	held map[string]decision.HeldPart
-	at   time.Time
+	quarantined map[string]decision.QuarantinedPart
+	at          time.Time
 }
 
 // NewPartKeeper returns a keeper without evidence.
@@ -152,36 +152,36 @@
 // publish computes the verdicts. Callers hold the lock.
 func (k *PartKeeper) publish(now time.Time) {
 	previous := k.verdicts.Load()
-	held := k.history.Held(now)
-	k.verdicts.Store(&partVerdicts{held: held, at: now})
-	for part, h := range held {
-		if _, ok := previous.held[part]; !ok {
-			telemetry.Warn(k.logger, "prompt part held", "part", part, "crashes", h.Crashes)
+	quarantined := k.history.Quarantined(now)
+	k.verdicts.Store(&partVerdicts{quarantined: quarantined, at: now})
+	for part, h := range quarantined {
+		if _, ok := previous.quarantined[part]; !ok {
+			telemetry.Warn(k.logger, "prompt part quarantined", "part", part, "crashes", h.Crashes)
 			k.notifyWaiting(part)
 		}
 	}
-	for part := range previous.held {
-		if _, ok := held[part]; !ok {
+	for part := range previous.quarantined {
+		if _, ok := quarantined[part]; !ok {
 			telemetry.Info(k.logger, "prompt part released", "part", part)
 			delete(k.trials, part)
 		}
 	}
 }
 
-// notifyWaiting calls onHeld of the requests with a part that is held from now on.
+// notifyWaiting calls onQuarantine of the requests with a part that is quarantined from now on.
 // Callers hold the lock.
 func (k *PartKeeper) notifyWaiting(part string) {
 	for r := range k.waiting {
 		if slices.Contains(r.parts, part) {
-			r.onHeld()
+			r.onQuarantine()
 		}
 	}
 }
 
-// Watch registers a request that is sent to a target. onHeld is called, and must not
-// block, if one of its parts is held before Unwatch.
-func (k *PartKeeper) Watch(parts []string, onHeld func()) *PartRequest {
-	r := &PartRequest{parts: parts, onHeld: onHeld}
+// Watch registers a request that is sent to a target. onQuarantine is called, and must not
+// block, if one of its parts is quarantined before Unwatch.
+func (k *PartKeeper) Watch(parts []string, onQuarantine func()) *PartRequest {
+	r := &PartRequest{parts: parts, onQuarantine: onQuarantine}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.waiting[r] = true
@@ -195,26 +195,26 @@
 	delete(k.waiting, r)
 }
 
-// Held returns the first of the parts that is held. ok is false if there is none.
-func (k *PartKeeper) Held(parts []string) (part string, h decision.HeldPart, ok bool) {
+// Quarantined returns the first of the parts that is quarantined. ok is false if there is none.
+func (k *PartKeeper) Quarantined(parts []string) (part string, h decision.QuarantinedPart, ok bool) {
 	v := k.verdicts.Load()
-	if len(v.held) > 0 && time.Since(v.at) > verdictTTL {
+	if len(v.quarantined) > 0 && time.Since(v.at) > verdictTTL {
 		k.mu.Lock()
 		k.publish(time.Now())
 		k.mu.Unlock()
 		v = k.verdicts.Load()
 	}
 	for _, p := range parts {
-		if h, ok := v.held[p]; ok {
+		if h, ok := v.quarantined[p]; ok {
 			return p, h, true
 		}
 	}
-	return "", decision.HeldPart{}, false
+	return "", decision.QuarantinedPart{}, false
 }
 
-// ClaimTrial reports whether one request with a held part may run now as a trial. Among
+// ClaimTrial reports whether one request with a quarantined part may run now as a trial. Among
 // all processes, one gets each trial; without the store, none does.
-func (k *PartKeeper) ClaimTrial(ctx context.Context, part string, h decision.HeldPart) bool {
+func (k *PartKeeper) ClaimTrial(ctx context.Context, part string, h decision.QuarantinedPart) bool {
 	id, ok := h.Trial(time.Now())
 	if !ok {
 		return false
--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -17,16 +17,16 @@
 	"github.com/quetzalglade/quetzalglade/quarantine"
 )
 
-// heldCrashes is the number of crashes after which a part is held.
-const heldCrashes = 3
+// quarantineCrashes is the number of crashes after which a part is quarantined.
+const quarantineCrashes = 3
 
-func isHeld(k *quarantine.PartKeeper, part string) bool {
-	_, _, ok := k.Held([]string{"other", part})
+func isQuarantined(k *quarantine.PartKeeper, part string) bool {
+	_, _, ok := k.Quarantined([]string{"other", part})
 	return ok
 }
 
 // TestPartEvidenceIsShared guards against processes that let a part crash targets which
-// another process already holds: while the store is away, and after a restart.
+// another process already quarantined: while the store is away, and after a restart.
 func TestPartEvidenceIsShared(t *testing.T) {
 	store := platformtest.NewStore()
 	defer store.Close()
@@ -41,27 +41,27 @@
 		a := quarantine.NewPartKeeper(client, log.NewNopLogger(), func(e []decision.PartEvidence) { b.Merge(e...) })
 		b = quarantine.NewPartKeeper(client, log.NewNopLogger(), func(e []decision.PartEvidence) { a.Merge(e...) })
 		done.Go(func() { _ = a.Serve(ctx) })
-		held := make(chan struct{}, 1)
-		waiting := b.Watch([]string{"bad"}, func() { held <- struct{}{} })
+		quarantined := make(chan struct{}, 1)
+		waiting := b.Watch([]string{"bad"}, func() { quarantined <- struct{}{} })
 		for i, k := range []*quarantine.PartKeeper{a, b, a} {
-			So(isHeld(b, "bad"), ShouldBeFalse)
+			So(isQuarantined(b, "bad"), ShouldBeFalse)
 			k.RecordCrash(string(rune('1'+i)), []string{"bad"})
 		}
-		So(isHeld(a, "bad"), ShouldBeTrue)
-		So(isHeld(b, "bad"), ShouldBeTrue)
-		So(held, ShouldHaveLength, 1)
+		So(isQuarantined(a, "bad"), ShouldBeTrue)
+		So(isQuarantined(b, "bad"), ShouldBeTrue)
+		So(quarantined, ShouldHaveLength, 1)
 		b.Unwatch(waiting)
 		store.SetFaults(platformtest.StoreFaults{})
 		restarted := quarantine.NewPartKeeper(client, log.NewNopLogger(), func([]decision.PartEvidence) {})
 		done.Go(func() { kvstore.Follow(ctx, client, quarantine.PartPrefix, restarted) })
-		for end := time.Now().Add(20 * time.Second); !isHeld(restarted, "bad") && time.Now().Before(end); {
+		for end := time.Now().Add(20 * time.Second); !isQuarantined(restarted, "bad") && time.Now().Before(end); {
 			time.Sleep(5 * time.Millisecond)
 		}
-		So(isHeld(restarted, "bad"), ShouldBeTrue)
+		So(isQuarantined(restarted, "bad"), ShouldBeTrue)
 	})
 }
 
-// TestOneProcessGetsTheTrial guards against a trial of a held part in each process, which
+// TestOneProcessGetsTheTrial guards against a trial of a quarantined part in each process, which
 // crashes a target each, and against a wrong verdict that stays because the only trial had
 // no result.
 func TestOneProcessGetsTheTrial(t *testing.T) {
@@ -76,7 +76,7 @@
 			for range 5 {
 				k := quarantine.NewPartKeeper(client, log.NewNopLogger(), func([]decision.PartEvidence) {})
 				for range 3 {
-					if k.ClaimTrial(ctx, "bad", decision.HeldPart{Crashes: heldCrashes, LastCrashMillis: crashMillis}) {
+					if k.ClaimTrial(ctx, "bad", decision.QuarantinedPart{Crashes: quarantineCrashes, LastCrashMillis: crashMillis}) {
 						won++
 					}
 				}
@@ -86,9 +86,9 @@
 		So(trials(now), ShouldEqual, 0)
 		So(trials(now-60_000), ShouldEqual, 1)
 		So(trials(now-60_000), ShouldEqual, 0)
-		first, ok := decision.HeldPart{Crashes: heldCrashes, LastCrashMillis: now}.Trial(time.UnixMilli(now).Add(5 * time.Second))
+		first, ok := decision.QuarantinedPart{Crashes: quarantineCrashes, LastCrashMillis: now}.Trial(time.UnixMilli(now).Add(5 * time.Second))
 		So(ok, ShouldBeTrue)
-		later, ok := decision.HeldPart{Crashes: heldCrashes, LastCrashMillis: now}.Trial(time.UnixMilli(now).Add(30 * time.Second))
+		later, ok := decision.QuarantinedPart{Crashes: quarantineCrashes, LastCrashMillis: now}.Trial(time.UnixMilli(now).Add(30 * time.Second))
 		So(ok, ShouldBeTrue)
 		So(later, ShouldBeGreaterThan, first)
 		store.SetFaults(platformtest.StoreFaults{ServiceUnavailable: true})
