faulttest: run daemons in process groups of their own

Known red: TestUnreachableTargetGetsNoNewWork, once 6.009 s in the first case, limit 5 s, 0 calls failed.

Cause: the daemons were in the process group of the test. When the shell that started the test in the background ends while an agent is stopped, the group becomes orphaned, and the kernel sends SIGHUP (ignored under nohup) and SIGCONT to all its processes. The agent went on, and the entries used it rightly. The test now also fails if the agent is not stopped until the end of the observation.

--- a/internal/faulttest/leaving_test.go
+++ b/internal/faulttest/leaving_test.go
@@ -156,7 +156,10 @@
 	for i, makeUnreachable := range []func(*target) (recoverTarget func()){
 		func(tg *target) func() {
 			tg.agent.pause()
-			return tg.agent.resume
+			return func() {
+				tg.agent.requirePaused()
+				tg.agent.resume()
+			}
 		},
 		func(tg *target) func() { return tg.inbound.addToxic("timeout", "downstream", `"timeout":0`) },
 	} {
--- a/internal/faulttest/process_test.go
+++ b/internal/faulttest/process_test.go
@@ -105,6 +105,9 @@
 
 func (p *process) start() {
 	p.t.Helper()
+	// The kernel continues the stopped processes of a process group that becomes
+	// orphaned, for example the test's when its shell exits.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	stdout, err := p.cmd.StdoutPipe()
 	if err != nil {
 		p.t.Fatal(err)
@@ -166,6 +169,15 @@
 func (p *process) pause()  { p.signal(syscall.SIGSTOP) }
 func (p *process) resume() { p.signal(syscall.SIGCONT) }
 
+// requirePaused fails the test if the process has been continued by another process.
+func (p *process) requirePaused() {
+	p.t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil || !bytes.Contains(status, []byte("\nState:\tT")) {
+		p.t.Fatalf("%s is not paused any more: %v %.200s", p.name, err, status)
+	}
+}
+
 // exited waits up to limit for the process to exit. It returns the exit code, 0
 // without an exit, and whether the process has exited.
 func (p *process) exited(limit time.Duration) (int, bool) {
