target: use a new connection for each request to a plain service or engine

Report: a late second copy of an answer on a connection in use again; the next caller got an answer that was not its own. Cause: net/http pairs any response that arrives with the next request, and responses of plain services and engines have no ID. Shown by a stand-in that repeats its first response: call 1 got the response to call 0. Ruled out at the gateway: responses there echo the request's ID (TestFaultyWorkerResponses). After: each request opens its own connection to the process beside the agent; 20 of 20 calls get their own response.

--- a/internal/target/engine.go
+++ b/internal/target/engine.go
@@ -114,6 +114,8 @@
 
 func (e *Engine) stream(req *http.Request, onChunk func(Chunk) error) error {
 	req.Header.Set("Accept", "text/event-stream")
+	// See Plain.Do.
+	req.Close = true
 	resp, err := e.http.Do(req)
 	if err != nil {
 		return errors.Wrap(err, "engine")
--- a/internal/target/plain.go
+++ b/internal/target/plain.go
@@ -56,6 +56,9 @@
 		return nil, errors.Wrap(err, "create service request")
 	}
 	req.ContentLength = int64(len(call.Body))
+	// A response has no ID. On a connection that is used again, a late second copy of the
+	// response to an earlier call would be taken for the response to this one.
+	req.Close = true
 	for k, v := range call.Header {
 		req.Header.Set(k, v)
 	}
