agent: check the permission of a call before it starts, with a clock that counts suspension

Report: a process that had been paused acted on a permission that had run out meanwhile. Cause: the start delay was checked when the call arrived, not after its wait in the queue, and with the monotonic clock, which stops while the VM is suspended. Ruled out: the queue's own deadline (same clock), the claim's lease (it ends in the store and is not asked again).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -22,6 +22,7 @@
 	"github.com/quetzalglade/quetzalglade/config"
 	"github.com/quetzalglade/quetzalglade/configsync"
 	"github.com/quetzalglade/quetzalglade/decision"
+	"github.com/quetzalglade/quetzalglade/internal/boottime"
 	"github.com/quetzalglade/quetzalglade/internal/httpclient"
 	"github.com/quetzalglade/quetzalglade/internal/httpserve"
 	"github.com/quetzalglade/quetzalglade/kvstore"
@@ -86,7 +87,9 @@
 	generations  *generationTable
 	tokenLatency tokenLatencyMeter
 	atMostOnce   *atMostOnceTable
-	startTime    time.Time
+	// clock returns the time since the VM was booted. startTime is when the agent was created.
+	clock        func() time.Duration
+	startTime    time.Duration
 	gate         *engineGate
 	quarantine   *quarantine.Keeper
 	state        atomic.Pointer[peer.State]
@@ -122,7 +125,8 @@
 		metrics:     metrics,
 		generations: newGenerationTable(),
 		atMostOnce:  newAtMostOnceTable(),
-		startTime:   time.Now(),
+		clock:       boottime.Now,
+		startTime:   boottime.Now(),
 		gate:        newEngineGate(),
 		quarantine:  quarantine.NewKeeper(opts.Store, opts.Logger, false),
 	}
--- a/agent/atmostonce.go
+++ b/agent/atmostonce.go
@@ -156,7 +156,9 @@
 	return id + "#" + strconv.Itoa(t.jobCount)
 }
 
-func (a *Agent) uptime() time.Duration { return time.Since(a.startTime) }
+// uptime returns the time since the agent was created, including the time in which its VM
+// was suspended.
+func (a *Agent) uptime() time.Duration { return a.clock() - a.startTime }
 
 // handleAtMostOnce starts a call that may run at most once and answers with its
 // reply. If the call has arrived before, it waits for the reply of that call.
--- a/agent/call.go
+++ b/agent/call.go
@@ -69,6 +69,14 @@
 // not depend on the sender's connection: a started call runs to its end.
 func (a *Agent) runCall(call *peer.Call, done chan<- *peer.Reply) {
 	defer a.inFlight.Done()
+	// The agent may have been paused while the call was queued.
+	if call.AtMostOnce != nil {
+		if refusal := a.checkStartDelay(call.AtMostOnce); refusal != nil {
+			a.finish(call.ID)
+			done <- &peer.Reply{ID: call.ID, Error: refusal}
+			return
+		}
+	}
 	startTime := time.Now()
 	ctx, cancel := context.WithTimeout(a.baseCtx, time.Duration(call.TimeoutMillis)*time.Millisecond)
 	defer cancel()
