peer, membership: a draining agent states it in every reply

A drain was known from the heartbeat only, up to 100 ms later and after any delay of the stream. The load that rides on replies now holds it; entries stop choosing the target before the next heartbeat and ask the agent for its state, since a reply may overtake the end of a drain. Test: TestReplyMarksTargetAsDraining.

--- a/agent/control.go
+++ b/agent/control.go
@@ -158,6 +158,7 @@
 		Marks:       a.quarantine.MarksToSend(time.Now()),
 		Load:        c.state.load(),
 	}
+	st.Load.Draining = st.Draining
 	if a.plain != nil {
 		st.Load.LatencyMicros = a.callLatency.median().Microseconds()
 	}
--- a/membership/member.go
+++ b/membership/member.go
@@ -53,12 +53,16 @@
 		return PhaseUnknown
 	case m.Unreachable || now.Sub(m.LastSeen) > m.HeartbeatTimeout:
 		return PhaseGone
-	case m.State.Draining || m.VM.State != vmlist.VMLive:
+	case m.isDraining() || m.VM.State != vmlist.VMLive:
 		return PhaseLeaving
 	}
 	return PhaseLive
 }
 
+// isDraining reports whether the agent has stated that it drains, in its state or in a
+// reply.
+func (m *Member) isDraining() bool { return m.State.Draining || m.State.Load.Draining }
+
 // Usable reports whether the member accepts new work at the given time.
 func (m *Member) Usable(now time.Time) bool {
 	return m.Phase(now) == PhaseLive && m.State.Ready
--- a/membership/report_test.go
+++ b/membership/report_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -23,9 +24,35 @@
 			State:    peer.State{VM: "target-0", Incarnation: "second", Ready: true},
 			LastSeen: time.Now().Add(-time.Hour), HeartbeatTimeout: decision.MinHeartbeatTimeout, Unreachable: true,
 		}}
-		tr.applyReport(report{vm: "target-0", incarnation: c.incarnation, at: time.Now()})
+		tr.applyReport(context.Background(), report{vm: "target-0", incarnation: c.incarnation, at: time.Now()})
 		if got := tr.members["target-0"].Usable(time.Now()); got != c.usable {
 			t.Errorf("usable %v after a reply of the %s incarnation", got, c.incarnation)
 		}
 	}
 }
+
+// TestReplyMarksTargetAsDraining guards against new work for a target whose agent has
+// stated in a reply that it drains, until its next heartbeat, and against a target that
+// stays out because such a reply arrives after the end of the drain.
+func TestReplyMarksTargetAsDraining(t *testing.T) {
+	f := newFakeFleet(1, 0, "m")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	tr := New(Options{Peers: f})
+	vm := f.vms[0]
+	m := &member{Member: Member{VM: vm, State: f.agents[vm.Addr], LastSeen: time.Now(), HeartbeatTimeout: decision.MinHeartbeatTimeout}, stopHeartbeats: func() {}}
+	tr.members[vm.Name] = m
+	if !m.Usable(time.Now()) {
+		t.Fatal("the target is not usable before the reply")
+	}
+	tr.applyReport(ctx, report{vm: vm.Name, incarnation: "first", load: peer.Load{Draining: true}, at: time.Now()})
+	if m.Usable(time.Now()) || tr.Snapshot().Find(vm.Name).Usable(time.Now()) {
+		t.Error("the target is usable after its agent has stated that it drains")
+	}
+	answer := <-tr.heartbeats
+	answer.at = time.Now()
+	tr.applyHeartbeat(ctx, answer)
+	if !m.Usable(time.Now()) {
+		t.Error("the target is not usable although its agent states that it does not drain")
+	}
+}
--- a/membership/subset.go
+++ b/membership/subset.go
@@ -223,7 +223,7 @@
 // heartbeats.
 func (m *member) isUnusable(now time.Time) bool {
 	timedOut := m.stopHeartbeats != nil && m.Phase(now) == PhaseGone
-	return timedOut || m.Unreachable || m.State.Draining || m.VM.State != vmlist.VMLive
+	return timedOut || m.Unreachable || m.isDraining() || m.VM.State != vmlist.VMLive
 }
 
 // groupsOf returns the groups of interchangeable targets that a target with the
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -217,7 +217,7 @@
 		case hb := <-t.heartbeats:
 			t.applyHeartbeat(ctx, hb)
 		case r := <-t.reports:
-			t.applyReport(r)
+			t.applyReport(ctx, r)
 		case <-maintenance.C:
 			t.maintain(ctx, time.Now())
 		case <-publish.C:
@@ -357,15 +357,24 @@
 
 // applyReport applies a load report that arrived with a reply. Like a heartbeat,
 // it shows that the agent responds. A report of another incarnation is dropped.
-func (t *Tracker) applyReport(r report) {
+func (t *Tracker) applyReport(ctx context.Context, r report) {
 	m, ok := t.members[r.vm]
 	if !ok || m.State.Incarnation != r.incarnation || r.at.Before(m.LastSeen) {
 		return
 	}
+	wasDraining := m.isDraining()
 	m.State.Load = r.load
 	m.LastSeen = r.at
 	m.Unreachable = false
 	t.snapshotStale = true
+	if m.isDraining() == wasDraining {
+		return
+	}
+	t.subsetStale = true
+	t.publish()
+	// A reply may have been sent before the end of a drain and arrive after the heartbeat
+	// that states it.
+	go t.queryState(ctx, m.VM.Name, m.VM.Addr)
 }
 
 // sendVersion queries an agent whose configuration version is lower than the one
--- a/peer/message.go
+++ b/peer/message.go
@@ -48,6 +48,9 @@
 	// new work with short answers.
 	WaitMicros      int64 `json:"wait_us,omitempty"`
 	ShortWaitMicros int64 `json:"short_wait_us,omitempty"`
+	// Draining is the agent's State.Draining. It is part of the load, which every reply
+	// carries, so that a drain is known before the next heartbeat.
+	Draining bool `json:"draining,omitempty"`
 }
 
 // State is the state that an agent or entry reports to other processes.
