quarantine, vmlist: one malformed value hides no other

A value under a mark's key that is no mark blocked all later writes of the keeper and failed the list of marks; one group of the VM list that could not be decoded failed the whole list. A malformed mark is now replaced at its revision, and lists are decoded element by element.

--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -125,9 +125,10 @@
 	}
 	var revision int64
 	if kv != nil {
+		// A value that is no mark is replaced: it would block all later writes.
 		var stored Mark
-		if err := json.Unmarshal(kv.Value, &stored); err != nil {
-			return errors.Wrap(err, "decode mark")
+		if json.Unmarshal(kv.Value, &stored) != nil {
+			stored = Mark{Fingerprint: m.Fingerprint}
 		}
 		merged := merge(m, stored)
 		if equal(merged, stored) {
@@ -154,7 +155,7 @@
 }
 
 // List returns the marks in the store whose status is not Clear at the given
-// time.
+// time. It leaves out values that are no marks.
 func List(ctx context.Context, store kvstore.Store, now time.Time) ([]Mark, error) {
 	kvs, _, err := store.Range(ctx, Prefix)
 	if err != nil {
@@ -163,8 +164,8 @@
 	var out []Mark
 	for _, kv := range kvs {
 		var m Mark
-		if err := json.Unmarshal(kv.Value, &m); err != nil {
-			return nil, errors.Wrap(err, "decode mark")
+		if json.Unmarshal(kv.Value, &m) != nil {
+			continue
 		}
 		if m.Status(now) != Clear {
 			out = append(out, m)
--- a/vmlist/vmlist.go
+++ b/vmlist/vmlist.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/quetzalglade/quetzalglade/internal/httpclient"
+	"github.com/quetzalglade/quetzalglade/internal/jsonlist"
 )
 
 // VMState is the state of a VM in the platform's list. The list shows changes
@@ -76,7 +77,7 @@
 	LabelRegion     = "__meta_region"
 )
 
-// List requests the current list. If the platform sends entity tags and the list
+// List requests the current list and leaves out groups that cannot be decoded. If the platform sends entity tags and the list
 // is unchanged, List returns the VMs of the last response. The caller must not
 // modify the result.
 func (c *Client) List(ctx context.Context) ([]VM, error) {
@@ -100,11 +101,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Newf("VM list: status %d", resp.StatusCode)
 	}
-	var groups []TargetGroup
+	var groups jsonlist.List[TargetGroup]
 	if err := json.NewDecoder(resp.Body).Decode(&groups); err != nil {
 		return nil, errors.Wrap(err, "VM list: decode")
 	}
-	c.etag, c.lastVMs = resp.Header.Get("ETag"), flatten(groups)
+	c.etag, c.lastVMs = resp.Header.Get("ETag"), flatten(groups.Items)
 	return c.lastVMs, nil
 }
 
