--- a/agent/agent.go
+++ b/agent/agent.go
@@ -88,12 +88,12 @@
 	tokenLatency tokenLatencyMeter
 	atMostOnce   *atMostOnceTable
 	// clock returns the time since the VM was booted. startTime is when the agent was created.
-	clock        func() time.Duration
-	startTime    time.Duration
-	gate         *engineGate
-	quarantine   *quarantine.Keeper
-	state        atomic.Pointer[peer.State]
-	inFlight     sync.WaitGroup
+	clock      func() time.Duration
+	startTime  time.Duration
+	gate       *engineGate
+	quarantine *quarantine.Keeper
+	state      atomic.Pointer[peer.State]
+	inFlight   sync.WaitGroup
 	// baseCtx is the context of work at the target, which continues after the
 	// request that started it has ended.
 	baseCtx context.Context
