platform, feed, sidecar: one odd entry names no target and hides no other

Report: another writer left one odd entry among those of the workers; the machines that read the list ended again and again, or stopped following it.

--- a/cmd/quetzalglade-gateway/main.go
+++ b/cmd/quetzalglade-gateway/main.go
@@ -39,7 +39,7 @@
 		return err
 	}
 	client := httpclient.New(httpclient.Options{IdlePerHost: 2})
-	opts.Store = platform.NewStore(s.Store.Address, client, s.Store.Timeout, s.Store.Watch)
+	opts.Store = platform.NewStore(s.Store.Address, client, logger, s.Store.Timeout, s.Store.Watch)
 	if s.Process.SidecarPort > 0 {
 		opts.SidecarWatcher = sidecar.NewClient(httpclient.New(httpclient.Options{}))
 	}
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -357,12 +357,12 @@
 		names := []string{"a", "b", "c", "d", "e"}
 		leaders := map[string]int{}
 		for _, self := range names {
-			r := NewMemberRegistry(Member{Name: self, Region: "north", Addr: "x:1"}, nil, log.NewNopLogger())
+			r := NewMemberRegistry(Member{Name: self, Region: "north", Addr: "10.0.0.1:1"}, nil, log.NewNopLogger())
 			var kvs []kvstore.KV
 			for _, n := range names {
-				kvs = append(kvs, kvstore.KV{Key: MemberPrefix + n, Value: []byte(`{"name":"` + n + `","region":"north","addr":"x:1"}`)})
+				kvs = append(kvs, kvstore.KV{Key: MemberPrefix + n, Value: []byte(`{"name":"` + n + `","region":"north","addr":"10.0.0.1:1"}`)})
 			}
-			kvs = append(kvs, kvstore.KV{Key: MemberPrefix + "far", Value: []byte(`{"name":"far","region":"south","addr":"x:1"}`)})
+			kvs = append(kvs, kvstore.KV{Key: MemberPrefix + "far", Value: []byte(`{"name":"far","region":"south","addr":"10.0.0.1:1"}`)})
 			r.Reset(kvs, 1)
 			leader := self
 			if l := r.Leader(); l != nil {
--- a/feed/hub.go
+++ b/feed/hub.go
@@ -168,7 +168,7 @@
 
 // response returns a response with the given state.
 func (h *Hub) response(revision int64, syncedAt time.Time) *Response {
-	r := &Response{Revision: revision, AgeMillis: time.Since(syncedAt).Milliseconds(), Events: []Event{}}
+	r := &Response{Revision: revision, AgeMillis: time.Since(syncedAt).Milliseconds()}
 	if via := h.via.Load(); via != nil {
 		r.Via = *via
 	}
--- a/feed/members.go
+++ b/feed/members.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -79,13 +81,44 @@
 
 func (r *MemberRegistry) put(kv *kvstore.KV) {
 	var m Member
-	if err := json.Unmarshal(kv.Value, &m); err != nil || m.Name == "" || m.Addr == "" {
+	err := json.Unmarshal(kv.Value, &m)
+	if err == nil {
+		err = m.check()
+	}
+	if err != nil {
 		telemetry.Warn(r.logger, "invalid member entry ignored", "key", kv.Key, "err", err)
 		return
 	}
 	r.members[kv.Key] = m
 }
 
+// maxNameBytes limits the names of a process and its region.
+const maxNameBytes = 200
+
+// check returns an error if the entry of a process cannot be used.
+func (m *Member) check() error {
+	if m.Name == "" || len(m.Name) > maxNameBytes || len(m.Region) > maxNameBytes {
+		return errors.Newf("member %.40q: name or region exceeds 1 to %d bytes", m.Name, maxNameBytes)
+	}
+	addr, err := netip.ParseAddrPort(m.Addr)
+	if err != nil || addr.Port() == 0 {
+		return errors.Newf("member %q: address %.60q is not ip:port", m.Name, m.Addr)
+	}
+	return nil
+}
+
+// HasHost reports whether another process listens on the host.
+func (r *MemberRegistry) HasHost(host string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, m := range r.members {
+		if memberHost, _, err := net.SplitHostPort(m.Addr); err == nil && memberHost == host && m.Name != r.self.Name {
+			return true
+		}
+	}
+	return false
+}
+
 // Count returns the number of known processes, including this one.
 func (r *MemberRegistry) Count() int {
 	r.mu.Lock()
--- a/feed/serve.go
+++ b/feed/serve.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/quetzalglade/quetzalglade/internal/jsonlist"
 	"github.com/quetzalglade/quetzalglade/kvstore"
 )
 
@@ -23,8 +24,8 @@
 	AgeMillis int64 `json:"age_ms"`
 	// Via holds the names of the processes that the state came through before the one
 	// that responds. Processes of earlier versions do not set it.
-	Via    []string `json:"via,omitempty"`
-	Events []Event  `json:"events"`
+	Via    []string             `json:"via,omitempty"`
+	Events jsonlist.List[Event] `json:"events"`
 }
 
 func (r *Response) age() time.Duration { return time.Duration(r.AgeMillis) * time.Millisecond }
@@ -57,7 +58,7 @@
 		kvs, revision, syncedAt := h.list()
 		response := h.response(revision, syncedAt)
 		for i := range kvs {
-			response.Events = append(response.Events, newEvent(&kvs[i], false))
+			response.Events.Items = append(response.Events.Items, newEvent(&kvs[i], false))
 		}
 		writeResponse(w, response)
 	})
@@ -99,7 +100,7 @@
 		}
 		response := h.response(revision, syncedAt)
 		for i := range events {
-			response.Events = append(response.Events, newEvent(&events[i].KV, events[i].Deleted))
+			response.Events.Items = append(response.Events.Items, newEvent(&events[i].KV, events[i].Deleted))
 		}
 		writeResponse(w, response)
 		return
--- a/feed/source.go
+++ b/feed/source.go
@@ -269,9 +269,9 @@
 	if err := s.fetch(ctx, u, PathList, headerTimeout, &response); err != nil {
 		return nil, 0, 0, nil, err
 	}
-	kvs = make([]kvstore.KV, len(response.Events))
-	for i := range response.Events {
-		kvs[i] = response.Events[i].kv()
+	kvs = make([]kvstore.KV, len(response.Events.Items))
+	for i := range kvs {
+		kvs[i] = response.Events.Items[i].kv()
 	}
 	return kvs, response.Revision, response.age(), append(response.Via, u.name()), nil
 }
@@ -370,8 +370,8 @@
 	s.hub.setVia(append(response.Via, u.name()))
 	*after = max(*after, response.Revision)
 	batch := kvstore.WatchBatch{Revision: response.Revision, Age: response.age()}
-	for i := range response.Events {
-		batch.Events = append(batch.Events, kvstore.Event{KV: response.Events[i].kv(), Deleted: response.Events[i].Deleted})
+	for _, e := range response.Events.Items {
+		batch.Events = append(batch.Events, kvstore.Event{KV: e.kv(), Deleted: e.Deleted})
 	}
 	select {
 	case out <- batch:
@@ -413,6 +413,9 @@
 	if err != nil {
 		return errors.Wrap(&transferError{err: transfer.Explain(err), bytes: bytes, took: took}, "feed: decode response")
 	}
+	for _, err := range response.Events.Omitted {
+		telemetry.Warn(s.logger, "feed entry omitted", "source", u.name(), "err", err)
+	}
 	if response.age() > maxStateAge {
 		return errors.Newf("feed: stale state, %v old", response.age())
 	}
--- a/feed/transfer_test.go
+++ b/feed/transfer_test.go
@@ -80,7 +80,7 @@
 			if i%2 == 1 {
 				mbps = 200
 			}
-			value := fmt.Sprintf(`{"name":"%s","region":"north","addr":"x:1","link_mbps":%g}`, n, mbps)
+			value := fmt.Sprintf(`{"name":"%s","region":"north","addr":"10.0.0.1:1","link_mbps":%g}`, n, mbps)
 			kvs = append(kvs, kvstore.KV{Key: MemberPrefix + n, Value: []byte(value)})
 		}
 		leaders := map[string]bool{}
@@ -89,7 +89,7 @@
 			if i%2 == 1 {
 				mbps = 200
 			}
-			r := NewMemberRegistry(Member{Name: self, Region: "north", Addr: "x:1", LinkMbps: mbps}, nil, log.NewNopLogger())
+			r := NewMemberRegistry(Member{Name: self, Region: "north", Addr: "10.0.0.1:1", LinkMbps: mbps}, nil, log.NewNopLogger())
 			r.Reset(kvs, 1)
 			leader := self
 			if l := r.Leader(); l != nil {
--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -30,7 +30,7 @@
 func TestPartEvidenceIsShared(t *testing.T) {
 	store := platformtest.NewStore()
 	defer store.Close()
-	client := platform.NewStore(store.Addr(), &http.Client{}, time.Second, 100*time.Millisecond)
+	client := platform.NewStore(store.Addr(), &http.Client{}, log.NewNopLogger(), time.Second, 100*time.Millisecond)
 	ctx, cancel := context.WithCancel(context.Background())
 	var done sync.WaitGroup
 	defer done.Wait()
@@ -67,7 +67,7 @@
 func TestOneProcessGetsTheTrial(t *testing.T) {
 	store := platformtest.NewStore()
 	defer store.Close()
-	client := platform.NewStore(store.Addr(), &http.Client{}, time.Second, 100*time.Millisecond)
+	client := platform.NewStore(store.Addr(), &http.Client{}, log.NewNopLogger(), time.Second, 100*time.Millisecond)
 	ctx := context.Background()
 	now := time.Now().UnixMilli()
 	Convey("One of several processes gets the trial when it is due, and none without the store", t, func() {
@@ -95,3 +95,22 @@
 		So(trials(now-50_000), ShouldEqual, 0)
 	})
 }
+
+// TestMalformedMarkBlocksNoOther guards against a value under the key of a mark that is no
+// mark: it blocked all later writes of the process, and the list of all marks.
+func TestMalformedMarkBlocksNoOther(t *testing.T) {
+	store := platformtest.NewStore()
+	defer store.Close()
+	client := platform.NewStore(store.Addr(), &http.Client{}, log.NewNopLogger(), time.Second, 100*time.Millisecond)
+	Convey("The malformed value is replaced, and the list leaves out others", t, func() {
+		ctx := context.Background()
+		now := time.Now()
+		store.Put(quarantine.Prefix+"f", []byte(`{"deaths":7`))
+		store.Put(quarantine.Prefix+"junk", []byte(`[1e400]`))
+		mark := quarantine.Mark{Fingerprint: "f", Crashes: map[string]int64{"c": now.UnixMilli()}}
+		So(quarantine.Put(ctx, client, mark), ShouldBeNil)
+		marks, err := quarantine.List(ctx, client, now)
+		So(err, ShouldBeNil)
+		So(marks, ShouldResemble, []quarantine.Mark{mark})
+	})
+}
--- a/sidecar/client.go
+++ b/sidecar/client.go
@@ -40,20 +40,28 @@
 	if resp.StatusCode != http.StatusOK {
 		return errors.Newf("sidecar responded with status %d", resp.StatusCode)
 	}
-	reader := bufio.NewReader(resp.Body)
-	for {
-		text, err := reader.ReadBytes('\n')
-		if errors.Is(err, io.EOF) {
-			return io.ErrUnexpectedEOF
-		}
-		if err != nil {
-			return errors.Wrap(err, "read sidecar stream")
-		}
+	scanner := bufio.NewScanner(resp.Body)
+	scanner.Buffer(make([]byte, 0, initialLineBytes), maxLineBytes)
+	for scanner.Scan() {
 		watchdog.Reset(StreamTimeout)
 		var line Line
-		if err := json.Unmarshal(text, &line); err != nil {
+		if err := json.Unmarshal(scanner.Bytes(), &line); err != nil {
 			return errors.Wrap(err, "decode sidecar line")
 		}
+		if line.Report == nil && !line.EngineUnreachable {
+			return errors.New("decode sidecar line: it holds no report")
+		}
 		onLine(line)
 	}
+	if err := scanner.Err(); err != nil {
+		return errors.Wrap(err, "read sidecar stream")
+	}
+	return io.ErrUnexpectedEOF
 }
+
+// initialLineBytes is the initial size of the buffer for a line, maxLineBytes the largest
+// line that is accepted.
+const (
+	initialLineBytes = 4 << 10
+	maxLineBytes     = 256 << 10
+)
