gateway: a stop serves the connections that have been opened

Report: during a planned stop under load, requests that had just been accepted were cut off without an answer. Cause: the listener was closed while connections waited in its queue, and a connection that was accepted during the close was dropped. Shown with 400 connections, each with a request, and a stop right after: one was cut in most runs. Ruled out: connections that the server knows (it waits for them). After: the queue is accepted to its end before the listener closes; 0 cut in 8 runs.

--- a/gateway/front.go
+++ b/gateway/front.go
@@ -35,6 +35,8 @@
 	// connections accepted under earlier limits.
 	servers []*http.Server
 	closed  chan struct{}
+	// accepting is closed when serve has returned.
+	accepting chan struct{}
 }
 
 // handoffListener is a net.Listener that returns the connections that the
@@ -65,11 +67,14 @@
 // Addr implements net.Listener.
 func (h *handoffListener) Addr() net.Addr { return h.addr }
 
-func newFrontend(g *Gateway) *frontend { return &frontend{g: g, closed: make(chan struct{})} }
+func newFrontend(g *Gateway) *frontend {
+	return &frontend{g: g, closed: make(chan struct{}), accepting: make(chan struct{})}
+}
 
 // serve accepts connections until shutdown is called and passes each to the HTTP
 // server that enforces the limits currently in force.
 func (f *frontend) serve(l net.Listener) {
+	defer close(f.accepting)
 	for {
 		c, err := l.Accept()
 		if err != nil {
@@ -93,6 +98,10 @@
 // process is out of file descriptors.
 const acceptRetryDelay = 20 * time.Millisecond
 
+// lastAcceptPeriod is how long a stopping process still accepts the connections that have
+// already been opened.
+const lastAcceptPeriod = 20 * time.Millisecond
+
 // currentListener returns the listener of the server that applies the limits in
 // force. It starts a new server for the first connection and after a change of
 // the limits.
@@ -117,6 +126,10 @@
 // requests until ctx ends. It then closes the remaining connections.
 func (f *frontend) shutdown(ctx context.Context) {
 	close(f.closed)
+	// Connections that wait to be accepted would be reset by the close of the listener.
+	if l, ok := f.g.opts.ClientListener.(*net.TCPListener); ok && l.SetDeadline(time.Now().Add(lastAcceptPeriod)) == nil {
+		<-f.accepting
+	}
 	_ = f.g.opts.ClientListener.Close()
 	f.mu.Lock()
 	servers := f.servers
