gateway, sidecar, decision: reserve at the engine's sidecar, and hold back less urgent streams

Cause, from 'placed' and 'answered' lines joined by request: an engine prefills one prompt after the other; the first event of the urgent kind came after 0.4 s with no backlog and after 2 to 4 s with 5,000 tokens and more. Up to 20 placements of 29 gateways hit one engine within a second, since reports are some 200 ms older than the work; and in the crest long prompts filled all engines' queues. After: each stream reserves at the sidecar of its engine, which counts what all gateways send; streams of a less urgent route wait until an urgent one that comes after them can still be on time, up to 2.5 times their objective.

--- a/cmd/quetzalglade-gateway/main.go
+++ b/cmd/quetzalglade-gateway/main.go
@@ -41,7 +41,7 @@
 	client := httpclient.New(httpclient.Options{IdlePerHost: 2})
 	opts.Store = platform.NewStore(s.Store.Address, client, logger, s.Store.Timeout, s.Store.Watch)
 	if s.Process.SidecarPort > 0 {
-		opts.SidecarWatcher = sidecar.NewClient(httpclient.New(httpclient.Options{}))
+		opts.SidecarWatcher = sidecar.NewClient(httpclient.New(httpclient.Options{IdlePerHost: 2}))
 	}
 	opts.PeerClient = httpclient.New(httpclient.Options{IdlePerHost: 1})
 	opts.Migrator = platform.NewEngineClient(httpclient.New(httpclient.Options{IdlePerHost: 2}), s.Store.Timeout)
--- a/decision/placement.go
+++ b/decision/placement.go
@@ -43,6 +43,34 @@
 	// Unreachable marks a target whose engine does not answer on its own VM. It is
 	// chosen only if all targets are marked.
 	Unreachable bool
+	// Unreported marks a target without a load report: the counts contain only the
+	// requests of this process.
+	Unreported bool
+}
+
+// AssumeMeanLoad raises the load of the targets without a report to the mean of the targets
+// with one. Without it, all processes would send their work to a target that has just been
+// added, until its first report arrives. It changes nothing if no target has a report.
+func AssumeMeanLoad(targets []PlacementTarget) {
+	var requests, prefillTokens, kvTokens, reported int
+	for i := range targets {
+		if t := &targets[i]; !t.Unreported && !t.Unreachable {
+			requests += t.Requests
+			prefillTokens += t.PrefillTokens
+			kvTokens += t.KVTokens
+			reported++
+		}
+	}
+	if reported == 0 {
+		return
+	}
+	for i := range targets {
+		if t := &targets[i]; t.Unreported {
+			t.Requests = max(t.Requests, requests/reported)
+			t.PrefillTokens = max(t.PrefillTokens, prefillTokens/reported)
+			t.KVTokens = max(t.KVTokens, kvTokens/reported)
+		}
+	}
 }
 
 // PlacementWork describes the request to place.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -14,9 +14,8 @@
 	"github.com/quetzalglade/quetzalglade/telemetry"
 )
 
-// chooseTarget chooses a target for a request from the ready targets that are
-// not excluded. It returns nil if there is none.
-func (g *Gateway) chooseTarget(req *request, exclude map[string]bool) *registry.Target {
+// placementCandidates returns the ready targets that are not excluded, and the load of each.
+func (g *Gateway) placementCandidates(req *request, exclude map[string]bool) ([]*registry.Target, []decision.PlacementTarget) {
 	now := time.Now()
 	ready := g.targets.Snapshot().Ready(req.service.Name)
 	candidates := make([]decision.PlacementTarget, 0, len(ready))
@@ -28,18 +27,30 @@
 		targets = append(targets, t)
 		candidates = append(candidates, g.placementCandidate(req, t, now))
 	}
+	if req.service.Engine != nil {
+		decision.AssumeMeanLoad(candidates)
+	}
+	return targets, candidates
+}
+
+// chooseTarget chooses a target for a request from the ready targets that are
+// not excluded. It returns nil if there is none.
+func (g *Gateway) chooseTarget(req *request, exclude map[string]bool) *registry.Target {
+	targets, candidates := g.placementCandidates(req, exclude)
 	work := req.placementWork()
 	costs := g.placementCosts.Shared(g.members.Count(), work)
 	index := costs.Pick(work, candidates, rand.Float64())
 	if index < 0 {
 		return nil
 	}
-	t := targets[index]
-	c := candidates[index]
+	g.logPlacement(req, targets[index], &candidates[index], len(targets))
+	return targets[index]
+}
+
+func (g *Gateway) logPlacement(req *request, t *registry.Target, c *decision.PlacementTarget, of int) {
 	telemetry.Info(g.opts.Logger, "placed", "request", req.ID, "route", req.route.Name, "service", req.service.Name,
-		"workspace", req.workspace, "target", t.ID, "of", len(targets), "requests", c.Requests, "prefill_tokens", c.PrefillTokens,
-		"memory_tokens", c.KVTokens, "slowdown", c.Slowdown, "revision", g.targets.Snapshot().Revision, "config_version", req.configVersion)
-	return t
+		"workspace", req.workspace, "target", t.ID, "of", of, "requests", c.Requests, "prefill_tokens", c.PrefillTokens,
+		"memory_tokens", c.KVTokens, "slowdown", c.Slowdown, "report", t.Load.Report(time.Now(), maxLoadReportAge), "revision", g.targets.Snapshot().Revision, "config_version", req.configVersion)
 }
 
 // Limits on backups and migrations, which copy the KV cache of a streaming
@@ -184,11 +195,16 @@
 	c.KVCapacityTokens = e.KVCapacityTokens
 	report := t.Load.Report(now, maxLoadReportAge)
 	if report == nil {
+		c.Unreported = true
 		return c
 	}
 	sentRequests, sentPromptTokens, sentKVTokens := t.Load.DispatchedSince(report.ReceivedAt.Add(-maxLoadReportLag))
 	c.Requests = max(c.Requests, report.Running+report.Queued+sentRequests)
-	c.PrefillTokens = max(c.PrefillTokens, report.Prefilling*typicalPromptTokens/2+report.Queued*typicalPromptTokens+sentPromptTokens)
+	prefillTokens := report.PrefillTokens
+	if prefillTokens == 0 {
+		prefillTokens = report.Prefilling*typicalPromptTokens/2 + report.Queued*typicalPromptTokens
+	}
+	c.PrefillTokens = max(c.PrefillTokens, prefillTokens+sentPromptTokens)
 	c.KVTokens = max(c.KVTokens, report.KVTokens+report.Decoding*typicalOutputTokens+sentKVTokens)
 	c.KVCopyTokens = report.KVCopyTokens
 	c.BaselineSlowdown = report.BaselineSlowdown
--- a/gateway/loadcollector.go
+++ b/gateway/loadcollector.go
@@ -17,6 +17,7 @@
 // implements it.
 type SidecarWatcher interface {
 	Watch(ctx context.Context, addr string, onLine func(sidecar.Line)) error
+	Reserve(ctx context.Context, addr string, in *sidecar.Reservation) (sidecar.ReservationResult, error)
 }
 
 // loadCollector keeps a stream of load reports open to the sidecar of each
@@ -89,12 +90,11 @@
 
 // watch keeps a stream open to the sidecar of the engine at addr until ctx ends.
 func (c *loadCollector) watch(ctx context.Context, addr string) {
-	host, _, err := net.SplitHostPort(addr)
+	sidecarAddr, err := sidecarAddr(addr, c.port)
 	if err != nil {
 		telemetry.Warn(c.g.opts.Logger, "invalid engine address", "addr", addr, "err", err)
 		return
 	}
-	sidecarAddr := net.JoinHostPort(host, strconv.Itoa(c.port))
 	failures := 0
 	for ctx.Err() == nil {
 		err := c.watcher.Watch(ctx, sidecarAddr, func(line sidecar.Line) {
@@ -118,6 +118,12 @@
 	}
 }
 
+// sidecarAddr returns the address of the sidecar of the engine at addr.
+func sidecarAddr(addr string, port int) (string, error) {
+	host, _, err := net.SplitHostPort(addr)
+	return net.JoinHostPort(host, strconv.Itoa(port)), err
+}
+
 // receive applies a line from the sidecar of the engine at addr to the targets
 // with that address. It ignores the report of another incarnation of a target.
 func (c *loadCollector) receive(addr string, line sidecar.Line) {
@@ -153,5 +159,6 @@
 		Prefilling: max(report.Running-len(report.Requests), 0),
 	}
 	load.Decoding = len(report.Requests)
+	load.PrefillTokens = report.PrefillTokens
 	return load
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -107,7 +107,7 @@
 // initialSegment chooses the target and the backup target of a segment that
 // runs the request from the start. It returns nil if there is no target.
 func (s *streamRequest) initialSegment(ctx context.Context) *segment {
-	t := s.g.awaitTarget(ctx, s.req, s.req.triedTargets)
+	t := s.g.placeStream(ctx, s.req)
 	if t == nil {
 		return nil
 	}
--- a/registry/departure_test.go
+++ b/registry/departure_test.go
@@ -76,6 +76,11 @@
 		}
 		convey.So(violations, convey.ShouldBeEmpty)
 	})
+}
+
+// Guards against a departed target without start times that stays out for ever, and against
+// work between a response and the next snapshot.
+func TestDeparture(t *testing.T) {
 	convey.Convey("A target without start times returns after departureRetention", t, func() {
 		k, now := newTestKeeper(t)
 		k.Depart("a", 0, "message")
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -88,6 +88,8 @@
 	Prefilling int
 	// Decoding is the number of requests that are being decoded.
 	Decoding int
+	// PrefillTokens is the number of prompt tokens to be prefilled, 0 if unknown.
+	PrefillTokens int
 	// KVTokens is the part of the KV cache that cannot be freed immediately, in
 	// tokens. It includes KVCopyTokens.
 	KVTokens int
@@ -126,6 +128,18 @@
 	return report
 }
 
+// RaiseBacklog raises the number of prompt tokens to be prefilled in the load report.
+func (l *Load) RaiseBacklog(prefillTokens int) {
+	report := l.lastReport.Load()
+	if report == nil || report.PrefillTokens >= prefillTokens {
+		return
+	}
+	raised := *report
+	raised.PrefillTokens = prefillTokens
+	// A newer report replaces this one.
+	l.lastReport.CompareAndSwap(report, &raised)
+}
+
 // LeavesAt returns when the target is expected to terminate, zero if unknown.
 func (l *Load) LeavesAt() time.Time {
 	if at := l.leavesAt.Load(); at != nil {
--- a/routing/table.go
+++ b/routing/table.go
@@ -141,6 +141,7 @@
 	routesByHost    map[string][]*Route
 	services        map[string]*Service
 	workspacesByKey map[string]*Workspace
+	mostUrgent      map[string]*Route
 }
 
 // NewTable returns a table with the given contents. It keeps references to the
@@ -149,9 +150,11 @@
 	t := &Table{
 		Version: version, Limits: limits, KeysRequired: len(workspaces) > 0,
 		routesByHost: map[string][]*Route{}, services: map[string]*Service{}, workspacesByKey: map[string]*Workspace{},
+		mostUrgent: map[string]*Route{},
 	}
 	for i := range routes {
 		r := &routes[i]
+		t.addUrgent(r)
 		host := strings.ToLower(r.Host)
 		t.routesByHost[host] = append(t.routesByHost[host], r)
 	}
@@ -169,6 +172,18 @@
 	return t
 }
 
+func (t *Table) addUrgent(r *Route) {
+	if r.Kind != Stream || r.TargetLatency == 0 {
+		return
+	}
+	for _, b := range r.Backends {
+		current := t.mostUrgent[b.Service]
+		if current == nil || r.Priority < current.Priority || r.Priority == current.Priority && r.TargetLatency < current.TargetLatency {
+			t.mostUrgent[b.Service] = r
+		}
+	}
+}
+
 // Match returns the route of a request: of the routes for its host, the one
 // with the longest prefix of its path. Routes for the host with its port take
 // precedence over routes for the host without it. Match returns nil if there is no
@@ -195,6 +210,10 @@
 // Service returns the service with the given name, nil if there is none.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// MostUrgent returns the stream route of a service with the lowest priority number, and
+// among those the one with the shortest latency objective; nil if there is none.
+func (t *Table) MostUrgent(service string) *Route { return t.mostUrgent[service] }
+
 // Priority returns the priority of a request on route r from workspace w, which
 // may be nil.
 func (t *Table) Priority(r *Route, w *Workspace) int {
--- a/sidecar/notice_test.go
+++ b/sidecar/notice_test.go
@@ -41,10 +41,10 @@
 	convey.Convey("A refusal that states a departure is passed on with the last report", t, func() {
 		engine := &countingEngine{err: &RefusedError{Status: 503, Leaving: true}}
 		s := New(Options{Engine: engine, Logger: log.NewNopLogger()})
-		s.latest = Line{Report: &Report{StartMillis: 7, Running: 3}}
+		s.latest = Line{Report: &Report{StartMillis: 7, KVTokens: 3}}
 		s.poll(context.Background())
 		line, _ := s.latestLine()
-		convey.So(line.Report, convey.ShouldResemble, &Report{StartMillis: 7, Running: 3, Draining: true})
+		convey.So(line.Report, convey.ShouldResemble, &Report{StartMillis: 7, KVTokens: 3, Draining: true})
 	})
 }
 
@@ -70,3 +70,41 @@
 		})
 	}
 }
+
+// Guards against reservations that an engine cannot serve: beyond the limits of the request,
+// while the engine leaves, or while it does not respond.
+func TestReserve(t *testing.T) {
+	engine := &fakeEngine{report: Report{StartMillis: 1, Running: 1, KVTokens: 1000, Requests: []RunningRequest{{ID: "old"}}}}
+	s := New(Options{Engine: engine, Logger: log.NewNopLogger()})
+	server := httptest.NewServer(http.HandlerFunc(s.handleReserve))
+	defer server.Close()
+	client := NewClient(&http.Client{})
+	reserve := func(id string, maxPrefill int) ReservationResult {
+		result, err := client.Reserve(context.Background(), server.Listener.Addr().String(),
+			&Reservation{RequestID: id, PromptTokens: 3000, KVTokens: 4000, MaxPrefillTokens: maxPrefill, MaxKVTokens: -1})
+		convey.So(err, convey.ShouldBeNil)
+		return result
+	}
+	convey.Convey("An engine that has not responded grants nothing", t, func() {
+		convey.So(reserve("a", 0), convey.ShouldResemble, ReservationResult{})
+	})
+	convey.Convey("The second request finds the backlog of the first one before that has arrived", t, func() {
+		s.poll(context.Background())
+		convey.So(reserve("a", 0).Granted, convey.ShouldBeTrue)
+		denied := reserve("b", 2999)
+		convey.So(denied.Granted, convey.ShouldBeFalse)
+		convey.So(denied.Report.PrefillTokens, convey.ShouldEqual, 3000)
+		convey.So(reserve("b", 3000).Granted, convey.ShouldBeTrue)
+	})
+	convey.Convey("A leaving engine grants nothing", t, func() {
+		engine.set(Report{StartMillis: 1, Draining: true}, nil)
+		s.poll(context.Background())
+		convey.So(reserve("c", -1).Granted, convey.ShouldBeFalse)
+	})
+	convey.Convey("An invalid reservation is an error", t, func() {
+		for _, in := range []Reservation{{}, {RequestID: "x", PromptTokens: -1}, {RequestID: strings.Repeat("x", 300)}, {RequestID: "x", KVTokens: 1 << 40}} {
+			_, err := client.Reserve(context.Background(), server.Listener.Addr().String(), &in)
+			convey.So(err, convey.ShouldNotBeNil)
+		}
+	})
+}
--- a/sidecar/report.go
+++ b/sidecar/report.go
@@ -36,6 +36,9 @@
 	// of requests that wait for that.
 	Running int `json:"running"`
 	Queued  int `json:"queued"`
+	// PrefillTokens is the number of prompt tokens that the engine has to prefill, including
+	// those of requests that are on their way to it; 0 if unknown.
+	PrefillTokens int `json:"backlog,omitempty"`
 	// KVTokens is the used part of the KV cache, in tokens, without tokens that
 	// can be freed at once.
 	KVTokens int `json:"memory_used"`
--- /dev/null
+++ b/sidecar/reserve.go
@@ -0,0 +1,113 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalglade/quetzalglade/internal/httpclient"
+)
+
+// PathReserve is the HTTP path at which gateways reserve for a request before they send it
+// to the engine.
+const PathReserve = "/sidecar/v1/reserve"
+
+// Reservation is the body of a request to PathReserve. Sizes are in tokens; a negative
+// maximum does not apply.
+type Reservation struct {
+	RequestID    string `json:"request"`
+	PromptTokens int    `json:"prompt"`
+	// KVTokens is the KV cache that the request is expected to need.
+	KVTokens int `json:"memory"`
+	// MaxPrefillTokens is the largest backlog of prompts at which the reservation is
+	// granted, MaxKVTokens the largest use of the KV cache with the request.
+	MaxPrefillTokens int `json:"max_backlog"`
+	MaxKVTokens      int `json:"max_memory"`
+}
+
+// ReservationResult is the response to a Reservation. Report is the engine's load, nil if
+// the engine cannot be reached.
+type ReservationResult struct {
+	Granted bool    `json:"granted"`
+	Report  *Report `json:"report,omitempty"`
+}
+
+// Limits of the messages about reservations.
+const (
+	maxReservationBytes = 4 << 10
+	maxRequestIDBytes   = 256
+	maxReservedTokens   = 1 << 28
+)
+
+// typicalOutputTokens is the assumed remaining output of a request that generates.
+const typicalOutputTokens = 500
+
+// observe updates the account of reservations from a report. Callers hold the lock.
+func (s *Sidecar) observe(report *Report, now time.Time) {
+	started := make(map[string]bool, len(report.Requests))
+	for i := range report.Requests {
+		started[report.Requests[i].ID] = true
+	}
+	prefilling := max(report.Running-len(report.Requests), 0)
+	s.reservations.Observe(now, prefilling+report.Queued, prefilling, report.KVTokens+len(report.Requests)*typicalOutputTokens,
+		func(id string) bool { return started[id] })
+	report.PrefillTokens = s.reservations.PrefillTokens()
+}
+
+func (s *Sidecar) handleReserve(w http.ResponseWriter, r *http.Request) {
+	var in Reservation
+	err := json.NewDecoder(io.LimitReader(r.Body, maxReservationBytes)).Decode(&in)
+	if err != nil || in.RequestID == "" || len(in.RequestID) > maxRequestIDBytes || in.PromptTokens < 0 || in.KVTokens < 0 ||
+		in.PromptTokens > maxReservedTokens || in.KVTokens > maxReservedTokens {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// Encode fails only if the client has disconnected.
+	_ = json.NewEncoder(w).Encode(s.reserve(&in))
+}
+
+// reserve grants a reservation if the engine is reachable, does not leave, and is within the
+// limits of the reservation.
+func (s *Sidecar) reserve(in *Reservation) ReservationResult {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.latest.Report == nil {
+		return ReservationResult{}
+	}
+	report := *s.latest.Report
+	granted := !report.Draining && s.reservations.TryReserve(time.Now(), in.RequestID, in.PromptTokens, in.KVTokens, in.MaxPrefillTokens, in.MaxKVTokens)
+	report.PrefillTokens = s.reservations.PrefillTokens()
+	report.Requests = nil
+	return ReservationResult{Granted: granted, Report: &report}
+}
+
+// Reserve reserves at the sidecar at addr.
+func (c *Client) Reserve(ctx context.Context, addr string, in *Reservation) (ReservationResult, error) {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return ReservationResult{}, errors.Wrap(err, "encode reservation")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+PathReserve, bytes.NewReader(body))
+	if err != nil {
+		return ReservationResult{}, errors.Wrap(err, "create reservation")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return ReservationResult{}, errors.Wrap(err, "reserve")
+	}
+	defer httpclient.CloseBody(resp)
+	if resp.StatusCode != http.StatusOK {
+		return ReservationResult{}, errors.Newf("reserve: status %d", resp.StatusCode)
+	}
+	var out ReservationResult
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxLineBytes)).Decode(&out); err != nil {
+		return ReservationResult{}, errors.Wrap(err, "reserve: decode response")
+	}
+	return out, nil
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -54,6 +54,8 @@
 
 	mu     sync.Mutex
 	latest Line
+	// reservations is the account of the work that gateways send to the engine.
+	reservations decision.Reservations
 	// changed is closed and replaced when watchers must be notified at once.
 	changed chan struct{}
 
@@ -96,6 +98,7 @@
 	telemetry.Info(s.opts.Logger, "start", "engine", s.opts.EngineAddr, "listen", s.opts.Listener.Addr().String())
 	mux := http.NewServeMux()
 	mux.HandleFunc(PathWatch, s.handleWatch)
+	mux.HandleFunc("POST "+PathReserve, s.handleReserve)
 	supervisor := suture.New("sidecar", suture.Spec{EventHook: func(e suture.Event) {
 		telemetry.Warn(s.opts.Logger, "supervisor event", "event", e.String())
 	}})
@@ -153,6 +156,9 @@
 		report.Draining = true
 		line = Line{Report: &report}
 	}
+	if line.Report != nil {
+		s.observe(line.Report, time.Now())
+	}
 	s.latest = line
 	stateChanged := engineChanged(&previous, &line)
 	if !stateChanged && !workChanged(&previous, &line) {
