--- a/decision/holdback.go
+++ b/decision/holdback.go
@@ -20,8 +20,10 @@
 	// prefilled.
 	ownShare = 0.6
 	// maxHoldbackFactor bounds the wait of held work, as a multiple of its objective. Clients
-	// give up at four times the objective.
+	// give up at four times the objective. maxHoldbackShare bounds it as a part of the time
+	// within which the work must be done.
 	maxHoldbackFactor = 2.5
+	maxHoldbackShare  = 0.3
 	// loadedTokenMillis is the time to prefill one prompt token beside a full batch.
 	loadedTokenMillis = 0.2
 )
@@ -32,9 +34,10 @@
 	return max(tokensWithin(time.Duration(urgentShare*float64(h.UrgentObjective)), t)-w.PromptTokens-h.UrgentPromptTokens, 0)
 }
 
-// MustStart reports whether held work starts although no target has room.
-func (h *Holdback) MustStart(waited, objective time.Duration) bool {
-	return waited > time.Duration(maxHoldbackFactor*float64(objective))
+// MustStart reports whether held work starts although no target has room. limit is the time
+// from its arrival within which it must be done.
+func (h *Holdback) MustStart(waited, objective, limit time.Duration) bool {
+	return waited > min(time.Duration(maxHoldbackFactor*float64(objective)), time.Duration(maxHoldbackShare*float64(limit)))
 }
 
 // MaxBacklogTokens returns the largest backlog of prompt tokens at which work with the given
--- a/decision/holdback_test.go
+++ b/decision/holdback_test.go
@@ -197,7 +197,7 @@
 			targets[i].PrefillTokens = c.engines[i].account.PrefillTokens()
 		}
 	}
-	if c.holdsBack && !p.urgent && !c.holdback.MustStart(now.Sub(p.arrived), longObjective) {
+	if c.holdsBack && !p.urgent && !c.holdback.MustStart(now.Sub(p.arrived), longObjective, crowdLength) {
 		return false
 	}
 	return send(c.costs.Pick(p.work, targets, c.rng.Float64()))
@@ -221,6 +221,16 @@
 	})
 }
 
+// Guards against held work that waits until it cannot be done any more.
+func TestHeldWorkStartsInTime(t *testing.T) {
+	convey.Convey("The wait is bounded by the objective and by the time limit", t, func() {
+		var h Holdback
+		convey.So(h.MustStart(9*time.Second, 4*time.Second, 39*time.Second), convey.ShouldBeFalse)
+		convey.So(h.MustStart(11*time.Second, 4*time.Second, 39*time.Second), convey.ShouldBeTrue)
+		convey.So(h.MustStart(2*time.Second, 4*time.Second, 6*time.Second), convey.ShouldBeTrue)
+	})
+}
+
 // Guards against an account that counts requests which have ended, or that misses requests
 // which have not arrived yet.
 func TestReservations(t *testing.T) {
--- a/gateway/holdback.go
+++ b/gateway/holdback.go
@@ -42,7 +42,7 @@
 			search.logWait(t)
 			return t
 		}
-		if search.holdback == nil || search.holdback.MustStart(time.Since(req.arrivedAt), req.route.TargetLatency) {
+		if search.holdback == nil || search.holdback.MustStart(time.Since(req.arrivedAt), req.route.TargetLatency, req.deadline.Sub(req.arrivedAt)) {
 			t := g.chooseTarget(req, req.triedTargets)
 			if t != nil {
 				search.reserve(ctx, t, unlimited, unlimited)
