httpserve, gateway: a stop waits for the requests of opened connections

Causes: (1) net/http closes a connection if its request is read after the start of Shutdown; (2) the rest of the queue was accepted for 20 ms only, and for less if the process did not run. Ruled out: the grace for the balancer (0 in the test), handlers that are cut.

--- a/gateway/front.go
+++ b/gateway/front.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/quetzalglade/quetzalglade/internal/httpserve"
 	"github.com/quetzalglade/quetzalglade/routing"
 )
 
@@ -35,8 +36,10 @@
 	// connections accepted under earlier limits.
 	servers []*http.Server
 	closed  chan struct{}
-	// accepting is closed when serve has returned.
+	// accepting is closed when serve has returned, expired at the end of a stop.
 	accepting chan struct{}
+	expired   chan struct{}
+	conns     *httpserve.Connections
 }
 
 // handoffListener is a net.Listener that returns the connections that the
@@ -68,7 +71,7 @@
 func (h *handoffListener) Addr() net.Addr { return h.addr }
 
 func newFrontend(g *Gateway) *frontend {
-	return &frontend{g: g, closed: make(chan struct{}), accepting: make(chan struct{})}
+	return &frontend{g: g, closed: make(chan struct{}), accepting: make(chan struct{}), expired: make(chan struct{}), conns: httpserve.NewConnections()}
 }
 
 // serve accepts connections until shutdown is called and passes each to the HTTP
@@ -77,31 +80,76 @@
 	defer close(f.accepting)
 	for {
 		c, err := l.Accept()
+		select {
+		case <-f.closed:
+			if err == nil {
+				f.handOver(l, c)
+			}
+			f.acceptRest(l)
+			return
+		default:
+		}
 		if err != nil {
 			select {
 			case <-f.closed:
-				return
 			case <-time.After(acceptRetryDelay):
-				continue
 			}
+			continue
 		}
-		h := f.currentListener(l.Addr())
+		f.handOver(l, c)
+	}
+}
+
+// acceptRest accepts the connections that have already been opened: the close of the
+// listener would reset them. It ends when none is left or at the end of a stop.
+func (f *frontend) acceptRest(l net.Listener) {
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
+		return
+	}
+	for timeouts := 0; timeouts < lastAccepts; {
 		select {
-		case h.conns <- c:
-		case <-h.done:
-			_ = c.Close()
+		case <-f.expired:
+			return
+		default:
+		}
+		if tcp.SetDeadline(time.Now().Add(lastAcceptPeriod)) != nil {
+			return
 		}
+		c, err := tcp.Accept()
+		if err != nil {
+			timeouts++
+			continue
+		}
+		timeouts = 0
+		f.handOver(l, c)
 	}
 }
 
+// handOver passes a connection to the HTTP server that enforces the limits currently in
+// force.
+func (f *frontend) handOver(l net.Listener, c net.Conn) {
+	h := f.currentListener(l.Addr())
+	f.conns.SetState(c, http.StateNew)
+	select {
+	case h.conns <- c:
+	case <-h.done:
+		f.conns.SetState(c, http.StateClosed)
+		_ = c.Close()
+	}
+}
+
+// An Accept that fails after lastAcceptPeriod shows that no connection waits, unless the
+// process did not run meanwhile. So many in a row end the search.
+const (
+	lastAcceptPeriod = 10 * time.Millisecond
+	lastAccepts      = 3
+)
+
 // acceptRetryDelay is the delay after a failed accept, for example when the
 // process is out of file descriptors.
 const acceptRetryDelay = 20 * time.Millisecond
 
-// lastAcceptPeriod is how long a stopping process still accepts the connections that have
-// already been opened.
-const lastAcceptPeriod = 20 * time.Millisecond
-
 // currentListener returns the listener of the server that applies the limits in
 // force. It starts a new server for the first connection and after a change of
 // the limits.
@@ -115,6 +163,7 @@
 	h := &handoffListener{addr: addr, conns: make(chan net.Conn), done: make(chan struct{})}
 	s := &http.Server{
 		Handler: f.g, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout, MaxHeaderBytes: limits.MaxHeaderBytes,
+		ConnState: f.conns.SetState,
 	}
 	f.limits, f.listener = limits, h
 	f.servers = append(f.servers, s)
@@ -126,14 +175,18 @@
 // requests until ctx ends. It then closes the remaining connections.
 func (f *frontend) shutdown(ctx context.Context) {
 	close(f.closed)
-	// Connections that wait to be accepted would be reset by the close of the listener.
-	if l, ok := f.g.opts.ClientListener.(*net.TCPListener); ok && l.SetDeadline(time.Now().Add(lastAcceptPeriod)) == nil {
+	defer context.AfterFunc(ctx, func() { close(f.expired) })()
+	if l, ok := f.g.opts.ClientListener.(*net.TCPListener); ok && l.SetDeadline(time.Now()) == nil {
 		<-f.accepting
 	}
 	_ = f.g.opts.ClientListener.Close()
 	f.mu.Lock()
 	servers := f.servers
 	f.mu.Unlock()
+	for _, s := range servers {
+		s.SetKeepAlivesEnabled(false)
+	}
+	f.conns.Wait(ctx)
 	var wg sync.WaitGroup
 	for _, s := range servers {
 		wg.Go(func() {
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -27,16 +27,20 @@
 	listener     net.Listener
 	server       *http.Server
 	drainTimeout time.Duration
+	conns        *Connections
 }
 
 // New returns a service that closes listener when it stops. The name identifies
 // the service in errors and in the supervisor's log.
 func New(name string, listener net.Listener, handler http.Handler, drainTimeout time.Duration) *Service {
+	conns := NewConnections()
 	return &Service{
 		name:         name,
 		listener:     listener,
 		drainTimeout: drainTimeout,
+		conns:        conns,
 		server: &http.Server{
+			ConnState:         conns.SetState,
 			Handler:           handler,
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
@@ -58,6 +62,9 @@
 	}
 	shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.drainTimeout)
 	defer cancel()
+	_ = s.listener.Close()
+	s.server.SetKeepAlivesEnabled(false)
+	s.conns.Wait(shutdownCtx)
 	if err := s.server.Shutdown(shutdownCtx); err != nil {
 		_ = s.server.Close()
 	}
