gateway, decision: take no slow engine for a stream because it has room

Engines 1.3 times slower than others have room since long streams avoid them; the search for room took them. Test: TestSlowTargetWithRoomIsNotAcceptable.

--- a/decision/holdback.go
+++ b/decision/holdback.go
@@ -1,6 +1,9 @@
 package decision
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Holdback keeps less urgent work waiting in front of the engines as long as more of it
 // would make urgent work miss its latency objective: an engine prefills the prompts that it
@@ -46,6 +49,25 @@
 	return max(tokensWithin(time.Duration(ownShare*float64(objective)), t)-w.PromptTokens, 0)
 }
 
+// maxDetourMillis is how much worse than the best target one with room may be. An engine may
+// have room because it is slow.
+const maxDetourMillis = 300
+
+// Acceptable reports for each target whether its score is near that of the best one.
+func (c *PlacementCosts) Acceptable(w PlacementWork, targets []PlacementTarget) []bool {
+	scores := make([]float64, len(targets))
+	lowest := math.Inf(1)
+	for i := range targets {
+		scores[i] = c.Score(w, &targets[i])
+		lowest = min(lowest, scores[i])
+	}
+	acceptable := make([]bool, len(targets))
+	for i := range scores {
+		acceptable[i] = scores[i] <= lowest+maxDetourMillis
+	}
+	return acceptable
+}
+
 // tokensWithin returns the number of prompt tokens that a target prefills within a time.
 func tokensWithin(d time.Duration, t *PlacementTarget) int {
 	return int(float64(d) / float64(time.Millisecond) / loadedTokenMillis / max(t.Slowdown, 1))
--- a/decision/holdback_test.go
+++ b/decision/holdback_test.go
@@ -221,6 +221,19 @@
 	})
 }
 
+// Guards against long streams at slow engines, which have room because nothing is placed
+// there: the streams pause for longer than their objective allows.
+func TestSlowTargetWithRoomIsNotAcceptable(t *testing.T) {
+	convey.Convey("A slow engine is acceptable for a long stream only if the others are crowded", t, func() {
+		costs := DefaultPlacementCosts()
+		work := PlacementWork{PromptTokens: 3000, KVTokens: 4000, Long: true}
+		targets := []PlacementTarget{{Slots: 24, PrefillTokens: 2000, Requests: 3}, {Slots: 24, BaselineSlowdown: 1.3}}
+		convey.So(costs.Acceptable(work, targets), convey.ShouldResemble, []bool{true, false})
+		targets[0].PrefillTokens = 9000
+		convey.So(costs.Acceptable(work, targets), convey.ShouldResemble, []bool{false, true})
+	})
+}
+
 // Guards against held work that waits until it cannot be done any more.
 func TestHeldWorkStartsInTime(t *testing.T) {
 	convey.Convey("The wait is bounded by the objective and by the time limit", t, func() {
--- a/gateway/holdback.go
+++ b/gateway/holdback.go
@@ -89,12 +89,13 @@
 func (s *roomSearch) reserveAny(ctx context.Context, targets []*registry.Target, candidates []decision.PlacementTarget) *registry.Target {
 	var rooms []room
 	var loads []decision.PlacementTarget
+	costs := s.g.placementCosts.Shared(s.g.members.Count(), s.work)
+	acceptable := costs.Acceptable(s.work, candidates)
 	for i := range candidates {
-		if r, ok := s.room(targets[i], &candidates[i]); ok {
+		if r, ok := s.room(targets[i], &candidates[i]); ok && acceptable[i] {
 			rooms, loads = append(rooms, r), append(loads, candidates[i])
 		}
 	}
-	costs := s.g.placementCosts.Shared(s.g.members.Count(), s.work)
 	for range maxReservationTries {
 		i := costs.Pick(s.work, loads, rand.Float64())
 		if i < 0 {
