httpserve, gateway: keep idle connections open until a stop has no requests

A booking was sent 60 ms before the end of the balancer's grace, reached its worker 95 ms later and was cut with its connection at once. Cause: a connection counts as idle until the header of its next request has been read. The stop closed idle connections; a request that was being read was dispatched and its connection closed. After: responses of a stopping process end their connections; idle ones stay open until no request has been in progress for 50 ms. TestStopServesKeptConnections.

--- a/gateway/front.go
+++ b/gateway/front.go
@@ -183,9 +183,6 @@
 	f.mu.Lock()
 	servers := f.servers
 	f.mu.Unlock()
-	for _, s := range servers {
-		s.SetKeepAlivesEnabled(false)
-	}
 	f.conns.Wait(ctx)
 	var wg sync.WaitGroup
 	for _, s := range servers {
--- a/internal/httpserve/connections.go
+++ b/internal/httpserve/connections.go
@@ -52,17 +52,27 @@
 	// firstRequestTimeout is how long a stop waits for the request of a connection that has
 	// been opened.
 	firstRequestTimeout = time.Second
+	// quietPeriod is how long no connection may carry a request before the wait ends. A
+	// connection counts as idle until the header of its next request has been read.
+	quietPeriod = 50 * time.Millisecond
 )
 
 // Wait waits until no connection carries a request or is to send its first one, or until
-// ctx ends. The listener must be closed and keep-alive disabled.
+// ctx ends. The listener must be closed, and responses must end their connections. Idle
+// connections must stay open meanwhile: one whose request is being read would be closed
+// although the request is served.
 func (c *Connections) Wait(ctx context.Context) {
 	startedAt := time.Now()
+	busyAt := startedAt
 	ticker := time.NewTicker(connPollPeriod)
 	defer ticker.Stop()
 	for {
+		now := time.Now()
 		active, opened := c.count()
-		if active == 0 && (opened == 0 || time.Since(startedAt) > firstRequestTimeout) {
+		if active > 0 || opened > 0 && now.Sub(startedAt) < firstRequestTimeout {
+			busyAt = now
+		}
+		if now.Sub(busyAt) >= quietPeriod {
 			return
 		}
 		select {
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,25 +29,26 @@
 	server       *http.Server
 	drainTimeout time.Duration
 	conns        *Connections
+	stopping     atomic.Bool
 }
 
 // New returns a service that closes listener when it stops. The name identifies
 // the service in errors and in the supervisor's log.
 func New(name string, listener net.Listener, handler http.Handler, drainTimeout time.Duration) *Service {
-	conns := NewConnections()
-	return &Service{
-		name:         name,
-		listener:     listener,
-		drainTimeout: drainTimeout,
-		conns:        conns,
-		server: &http.Server{
-			ConnState:         conns.SetState,
-			Handler:           handler,
-			ReadHeaderTimeout: headerTimeout,
-			IdleTimeout:       idleTimeout,
-			MaxHeaderBytes:    maxHeaderBytes,
-		},
+	s := &Service{name: name, listener: listener, drainTimeout: drainTimeout, conns: NewConnections()}
+	s.server = &http.Server{
+		ConnState: s.conns.SetState,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if s.stopping.Load() {
+				w.Header().Set("Connection", "close")
+			}
+			handler.ServeHTTP(w, r)
+		}),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	return s
 }
 
 // Serve implements suture.Service. A closed listener cannot be reopened, so the
@@ -62,8 +64,8 @@
 	}
 	shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.drainTimeout)
 	defer cancel()
+	s.stopping.Store(true)
 	_ = s.listener.Close()
-	s.server.SetKeepAlivesEnabled(false)
 	s.conns.Wait(shutdownCtx)
 	if err := s.server.Shutdown(shutdownCtx); err != nil {
 		_ = s.server.Close()
--- a/internal/httpserve/stop_test.go
+++ b/internal/httpserve/stop_test.go
@@ -48,3 +48,54 @@
 		<-served
 	})
 }
+
+// Guards against a request on a kept connection that is served during a stop while its
+// connection is closed.
+func TestStopServesKeptConnections(t *testing.T) {
+	convey.Convey("A request that arrives on a kept connection during the stop gets its response, which ends the connection", t, func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		convey.So(err, convey.ShouldBeNil)
+		started, finish := make(chan struct{}), make(chan struct{})
+		s := New("test", l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/slow" {
+				close(started)
+				<-finish
+			}
+			w.WriteHeader(http.StatusNoContent)
+		}), 10*time.Second)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		served := make(chan error, 1)
+		go func() { served <- s.Serve(ctx) }()
+		dial := func() (net.Conn, *bufio.Reader) {
+			c, err := net.Dial("tcp", l.Addr().String())
+			convey.So(err, convey.ShouldBeNil)
+			return c, bufio.NewReader(c)
+		}
+		exchange := func(c net.Conn, r *bufio.Reader) *http.Response {
+			_, err := c.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+			convey.So(err, convey.ShouldBeNil)
+			resp, err := http.ReadResponse(r, nil)
+			convey.So(err, convey.ShouldBeNil)
+			return resp
+		}
+		kept, keptReader := dial()
+		defer func() { _ = kept.Close() }()
+		convey.So(exchange(kept, keptReader).Close, convey.ShouldBeFalse)
+		slow, slowReader := dial()
+		defer func() { _ = slow.Close() }()
+		_, err = slow.Write([]byte("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n"))
+		convey.So(err, convey.ShouldBeNil)
+		<-started
+		cancel()
+		for !s.stopping.Load() {
+			time.Sleep(time.Millisecond)
+		}
+		convey.So(exchange(kept, keptReader).Close, convey.ShouldBeTrue)
+		close(finish)
+		resp, err := http.ReadResponse(slowReader, nil)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(resp.StatusCode, convey.ShouldEqual, http.StatusNoContent)
+		<-served
+	})
+}
