gateway: refuse requests on open connections once the listener is closed

After: such requests are refused as not run, at once; the search for connections in the queue ends after 300 ms.

--- a/gateway/front.go
+++ b/gateway/front.go
@@ -36,9 +36,8 @@
 	// connections accepted under earlier limits.
 	servers []*http.Server
 	closed  chan struct{}
-	// accepting is closed when serve has returned, expired at the end of a stop.
+	// accepting is closed when serve has returned.
 	accepting chan struct{}
-	expired   chan struct{}
 	conns     *httpserve.Connections
 }
 
@@ -71,7 +70,7 @@
 func (h *handoffListener) Addr() net.Addr { return h.addr }
 
 func newFrontend(g *Gateway) *frontend {
-	return &frontend{g: g, closed: make(chan struct{}), accepting: make(chan struct{}), expired: make(chan struct{}), conns: httpserve.NewConnections()}
+	return &frontend{g: g, closed: make(chan struct{}), accepting: make(chan struct{}), conns: httpserve.NewConnections()}
 }
 
 // serve accepts connections until shutdown is called and passes each to the HTTP
@@ -101,18 +100,14 @@
 }
 
 // acceptRest accepts the connections that have already been opened: the close of the
-// listener would reset them. It ends when none is left or at the end of a stop.
+// listener would reset them. It ends when none is left, after maxLastAccepts at the latest.
 func (f *frontend) acceptRest(l net.Listener) {
 	tcp, ok := l.(*net.TCPListener)
 	if !ok {
 		return
 	}
-	for timeouts := 0; timeouts < lastAccepts; {
-		select {
-		case <-f.expired:
-			return
-		default:
-		}
+	startedAt := time.Now()
+	for timeouts := 0; timeouts < lastAccepts && time.Since(startedAt) < maxLastAccepts; {
 		if tcp.SetDeadline(time.Now().Add(lastAcceptPeriod)) != nil {
 			return
 		}
@@ -144,6 +139,8 @@
 const (
 	lastAcceptPeriod = 10 * time.Millisecond
 	lastAccepts      = 3
+	// maxLastAccepts bounds the search while clients go on opening connections.
+	maxLastAccepts = 300 * time.Millisecond
 )
 
 // acceptRetryDelay is the delay after a failed accept, for example when the
@@ -175,11 +172,12 @@
 // requests until ctx ends. It then closes the remaining connections.
 func (f *frontend) shutdown(ctx context.Context) {
 	close(f.closed)
-	defer context.AfterFunc(ctx, func() { close(f.expired) })()
 	if l, ok := f.g.opts.ClientListener.(*net.TCPListener); ok && l.SetDeadline(time.Now()) == nil {
 		<-f.accepting
 	}
 	_ = f.g.opts.ClientListener.Close()
+	// A request that arrives on an idle connection from now on might not end in time.
+	f.g.draining.Store(true)
 	f.mu.Lock()
 	servers := f.servers
 	f.mu.Unlock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -97,6 +97,8 @@
 	placementCosts decision.PlacementCosts
 	metrics        *metrics
 	stopping       atomic.Bool
+	// draining is set once the listener for clients is closed.
+	draining       atomic.Bool
 	slowdowns      slowdowns
 	retryBudgets   retryBudgets
 	responseBuffer bufferLimit
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -48,6 +48,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	req, failure := g.admit(r)
+	if failure == nil && g.draining.Load() {
+		failure = result.New(result.TargetLeaving, result.RanNo, "this process stops").RetryAfter(stoppingRetryAfter)
+	}
 	if failure != nil {
 		g.respondError(w, req, failure)
 		return
@@ -149,6 +152,11 @@
 	return nil
 }
 
+// stoppingRetryAfter is the delay after which clients are asked to retry if their request
+// arrives on an open connection after the listener was closed. Their next connection leads
+// to another process.
+const stoppingRetryAfter = 50 * time.Millisecond
+
 // notReadyRetryAfter is the delay after which clients are asked to retry if the
 // gateway has just started.
 const notReadyRetryAfter = 300 * time.Millisecond
