--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -177,8 +177,10 @@
 // config returns the operator's configuration.
 func config(version int, change func(map[string]any)) map[string]any {
 	route := func(name, kind, prefix, service string, timeout, aim, attempts, priority int) map[string]any {
-		return map[string]any{"name": name, "hostname": "ficu95.example", "prefix": prefix, "route_type": kind, "timeout_ms": timeout, "target_latency_ms": aim,
-			"priority": priority, "service": service, "max_attempts": attempts, "public": false, "sticky": kind == "streaming", "resumable": false, "gap_aim_ms": 180}
+		return map[string]any{
+			"name": name, "hostname": "ficu95.example", "prefix": prefix, "route_type": kind, "timeout_ms": timeout, "target_latency_ms": aim,
+			"priority": priority, "service": service, "max_attempts": attempts, "public": false, "sticky": kind == "streaming", "resumable": false, "gap_aim_ms": 180,
+		}
 	}
 	c := map[string]any{
 		"version": version,
@@ -190,7 +192,8 @@
 		"services": []any{
 			map[string]any{"name": "kalamu", "health_path": "/healthz", "max_connections": 242, "protocol": "h1", "tls": false, "engine": map[string]any{
 				"slots": 24, "kv_capacity": 34377, "kv_bytes": 163840, "link_mbps": 24000.0, "moves": true, "backups": true, "stride": 4, "most": 12,
-				"pin_ms": 4000.0, "hold_ms": 2000.0, "handle_s": 5.0, "models": []any{map[string]any{"name": "m"}}}},
+				"pin_ms": 4000.0, "hold_ms": 2000.0, "handle_s": 5.0, "models": []any{map[string]any{"name": "m"}},
+			}},
 			map[string]any{"name": "duka", "health_path": "/healthz", "max_connections": 100, "protocol": "h1", "tls": false},
 		},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -59,9 +59,11 @@
 
 func (f *fleet) start(s *store, id, host, service, zone string) *worker {
 	l := listen(host)
-	w := &worker{f: f, id: id, addr: l.Addr().String(), zone: zone, service: service, born: time.Now().UnixMilli(), listener: l,
+	w := &worker{
+		f: f, id: id, addr: l.Addr().String(), zone: zone, service: service, born: time.Now().UnixMilli(), listener: l,
 		prefill: 300 * time.Millisecond, interval: 100 * time.Millisecond, events: 60, work: 100 * time.Millisecond,
-		state: "ready", copies: map[string]int{}, running: map[string]*run{}, dead: make(chan struct{})}
+		state: "ready", copies: map[string]int{}, running: map[string]*run{}, dead: make(chan struct{}),
+	}
 	f.mu.Lock()
 	if f.byAddr == nil {
 		f.byAddr = map[string]*worker{}
@@ -78,8 +80,10 @@
 	w.mu.Lock()
 	state := w.state
 	w.mu.Unlock()
-	s.put("servers/"+w.id, map[string]any{"service": w.service, "address": w.addr, "zone": w.zone, "version": "v1", "slots": 24,
-		"state": state, "cold_remaining_ms": 0, "seq_no": 1, "born": w.born})
+	s.put("servers/"+w.id, map[string]any{
+		"service": w.service, "address": w.addr, "zone": w.zone, "version": "v1", "slots": 24,
+		"state": state, "cold_remaining_ms": 0, "seq_no": 1, "born": w.born,
+	})
 }
 
 func (w *worker) setState(state string) {
