--- a/review/lab/encoded.go
+++ b/review/_lab/encoded.go
@@ -7,9 +7,10 @@
 	"time"
 )
 
-// encodedCase asks for files whose names hold an encoded slash. By the path as sent they belong
-// to the routes /files/ and /orders/; other services have longer prefixes, which the path begins
-// with only once it is decoded. The requests for /orders/ carry a key that no tenant holds.
+// encodedCase lets the operator add two routes whose prefixes are longer than those of the first
+// ones. Before and after that, clients ask for files whose names hold an encoded slash. By the path as
+// sent they belong to the first routes, /files/ and /orders/; the path begins with the added
+// prefixes only once it is decoded. The requests for /orders/ carry a key that no tenant holds.
 func encodedCase(l *lab) bool {
 	var mu sync.Mutex
 	ranBy := map[string]string{}
@@ -21,11 +22,9 @@
 		}
 	}
 	services := []map[string]any{plainService("shared"), plainService("private")}
-	orders := route("r-orders", "/orders/", "idempotent", "shared", 3000, 2, 2)
+	files, orders := route("r-files", "/files/", "idempotent", "shared", 3000, 2, 2), route("r-orders", "/orders/", "idempotent", "shared", 3000, 2, 2)
 	orders["public"] = false
-	l.store.write("op/config", configuration(1, services,
-		route("r-files", "/files/", "idempotent", "shared", 3000, 2, 2), route("r-private", "/files/private/", "idempotent", "private", 3000, 2, 2),
-		orders, route("r-help", "/orders/help/", "idempotent", "private", 3000, 2, 2)))
+	l.store.write("op/config", configuration(1, services, files, orders))
 	own := map[string]bool{}
 	for n := range 2 {
 		own[l.startPlain("shared", n, 12, 6, 20*time.Millisecond, onLine).id] = true
@@ -33,10 +32,12 @@
 	}
 	b := newBalancer([]*gateway{l.newGateway("edge-z1-1", 0), l.newGateway("edge-z1-2", 0)})
 	b.awaitReady()
-	separator := "-"
 	if l.trouble {
-		separator = "%2F"
+		l.store.write("op/config", configuration(2, services, files, orders,
+			route("r-private", "/files/private/", "idempotent", "private", 3000, 2, 2), route("r-help", "/orders/help/", "idempotent", "private", 3000, 2, 2)))
+		l.note("configuration 2 acknowledged: it adds /files/private/ and /orders/help/")
 	}
+	time.Sleep(configApply + stableWindow)
 	wrong, keyless, requests := 0, 0, 0
 	send := func(n int, path string, header map[string]string) string {
 		c := &client{l: l, b: b, n: n}
@@ -49,11 +50,11 @@
 		return ranBy[a.id]
 	}
 	for n := range 40 {
-		if worker := send(n, "/files/private"+separator+"note-"+strconv.Itoa(n), nil); worker != "" && !own[worker] {
+		if worker := send(n, "/files/private%2Fnote-"+strconv.Itoa(n), nil); worker != "" && !own[worker] {
 			wrong++
 			l.note("ROUTE: the request for /files/ is run by %s", worker)
 		}
-		if worker := send(n, "/orders/help"+separator+"note-"+strconv.Itoa(n), map[string]string{"X-Key": "no-such-key"}); worker != "" {
+		if worker := send(n, "/orders/help%2Fnote-"+strconv.Itoa(n), map[string]string{"X-Key": "no-such-key"}); worker != "" {
 			keyless++
 			l.note("ROUTE: a request without a valid key is run by %s", worker)
 		}
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,7 @@
-#!/usr/bin/env bash
-# Builds the stand-ins of the scripts, beside the project's programs.
-set -euo pipefail
-top=$(cd "$(dirname "$0")/.." && pwd)
-cd "$top/review/harness"
-GOFLAGS=-buildvcs=false GOWORK=off go build -o "$top/target/review-harness" .
+#!/bin/sh
+# Builds the stand-ins and scripts of the cases, beside the project's programs. It needs no
+# network: the module uses the standard library only.
+set -e
+root=$(cd "$(dirname "$0")/.." && pwd)
+cd "$root/review/_lab"
+GOFLAGS=-buildvcs=false GOWORK=off go build -o "$root/target/review-lab" .
