command: keep SIGHUP caught until the process has ended

Callers saw closed connections: a gateway that was stopping after SIGTERM ended at the next SIGHUP, and the requests that it had passed on were lost.

Cause: the goroutine that checks the settings returned with the context of SIGTERM and called signal.Stop, which restores the default action of SIGHUP. The signal was also uncaught while the settings were loaded at the start.

The signal is caught before the settings are loaded and never released, so that its default action can't apply in any phase of the process.

--- a/internal/command/daemon.go
+++ b/internal/command/daemon.go
@@ -49,6 +49,10 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			// SIGHUP stays caught until the process has ended: its default action would end
+			// the process, also during the start and the stop.
+			hangup := make(chan os.Signal, 1)
+			signal.Notify(hangup, syscall.SIGHUP)
 			s := d.Defaults()
 			if printDefaults {
 				return settings.Print(cmd.OutOrStdout(), &s)
@@ -62,7 +66,9 @@
 			defer func() { _ = logWriter.Close() }()
 			logger := telemetry.NewLogger(logWriter, d.Name, d.VMName(&s))
 			d.setMemoryLimit(&s)
-			go d.checkSettingsOnHangup(ctx, file, &s, logger)
+			ended := make(chan struct{})
+			defer close(ended)
+			go d.checkSettingsOnHangup(hangup, ended, file, &s, logger)
 			return d.Run(ctx, &s, logger)
 		},
 	}
@@ -98,17 +104,14 @@
 	return d.Name + ".ini"
 }
 
-// checkSettingsOnHangup validates the settings file at each SIGHUP and logs
-// whether it differs from the running settings, which do not change until the
-// process restarts.
-func (d *Daemon[S]) checkSettingsOnHangup(ctx context.Context, file string, running *S, logger log.Logger) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+// checkSettingsOnHangup validates the settings file at each signal until ended is
+// closed. It logs whether the file differs from the running settings, which do not
+// change until the process restarts.
+func (d *Daemon[S]) checkSettingsOnHangup(hangup <-chan os.Signal, ended <-chan struct{}, file string, running *S, logger log.Logger) {
 	for {
 		select {
 		case <-hangup:
-		case <-ctx.Done():
+		case <-ended:
 			return
 		}
 		s := d.Defaults()
