gateway: stop a stream at its source before it continues elsewhere

Callers saw complete streams, but an engine that runs a request on after its connection has closed generated the stream beside the next engine (TWICE).

Cause: the switch to a copy or a backup relied on the close of the connection. The call that stops a run was never used. The same held for a stream whose connection broke while its engine went on. The gateway now closes the connection and asks the source to stop the run, on each path that continues a stream, and waits at most 0.25 s for the answer.

Ruled out: a continuation before the close (in the record of the case the close comes first) and a second run from the beginning. Not affected: the path of entries and agents, which cancel at the engine by a call.

--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -17,6 +17,7 @@
 	responses       metric.Int64Counter
 	attempts        metric.Int64Counter
 	holds           metric.Int64Counter
+	sourceStops     metric.Int64Counter
 	firstByte       metric.Float64Histogram
 	requestDuration metric.Float64Histogram
 }
@@ -35,6 +36,7 @@
 		responses:       base.Counter("answers", "Answers to clients by route, status and outcome."),
 		attempts:        base.Counter("attempts", "Attempts at targets by service and outcome."),
 		holds:           base.Counter("target_holds", "Times that a target turned a request away and wanted no further ones for some time, by service."),
+		sourceStops:     base.Counter("source_stops", "Calls that stop a request at its source before it continues elsewhere, by service and whether the source confirmed the stop."),
 		firstByte:       base.DurationHistogram("first_byte", "Time to the first byte of a target's answer.", latencyBounds...),
 		requestDuration: base.DurationHistogram("request", "Time to the end of an answer.", latencyBounds...),
 	}
@@ -55,3 +57,7 @@
 func (m *metrics) recordHold(service string) {
 	m.holds.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
 }
+
+func (m *metrics) recordSourceStop(service string, confirmed bool) {
+	m.sourceStops.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.Bool("confirmed", confirmed)))
+}
--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -13,16 +13,20 @@
 )
 
 // MigrationRequest asks an engine to copy the KV cache of a running request to
-// another engine. The request continues during the copy.
+// another engine. The request continues during the copy, unless Stop is set.
 type MigrationRequest struct {
 	RequestID string
 	// DestinationAddr is the address of the engine that receives the copy.
 	DestinationAddr string
+	// Stop ends the request at the source engine before the copy. The source keeps the
+	// KV cache, also if the copy fails.
+	Stop bool
 }
 
 // MigrationResult describes a complete copy.
 type MigrationResult struct {
-	// Handle is the name under which the source engine knows the copy.
+	// Handle is the name under which the source engine knows the copy. An engine that
+	// has stopped the request names it also if the copy failed.
 	Handle string
 	// Events is the number of events generated so far.
 	Events int
@@ -120,7 +124,7 @@
 			return
 		}
 	}
-	defer m.freeCopy()
+	defer m.freeUnusedCopy()
 	m.prepareConn(ctx, m.copy.Load().target)
 	m.switchRequested.Store(true)
 	<-ctx.Done()
@@ -213,23 +217,28 @@
 	return nil
 }
 
-// freeCopy deletes the copy if the request ended without using it.
-func (m *segmentMigration) freeCopy() {
+// freeUnusedCopy deletes the copy if the request ended without using it.
+func (m *segmentMigration) freeUnusedCopy() {
 	c := m.copy.Load()
 	if c == nil || m.copyUsed.Load() {
 		return
 	}
+	m.stream.freeCopy(m.segment.target, c.handle)
+}
+
+// freeCopy deletes a copy of the request's KV cache that the source engine has made.
+func (s *streamRequest) freeCopy(source *registry.Target, handle string) {
 	// The engine deletes an unused copy itself after some time.
-	if !m.segment.target.Load.HeldUntil(time.Now()).IsZero() {
+	if !source.Load.HeldUntil(time.Now()).IsZero() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), migrationTimeout)
 	defer cancel()
 	sentAt := time.Now()
-	notice, err := m.stream.g.opts.Migrator.Free(ctx, m.segment.target.Addr, c.handle)
-	m.stream.g.applyNotice(m.segment.target, notice, sentAt, m.stream.req.service)
+	notice, err := s.g.opts.Migrator.Free(ctx, source.Addr, handle)
+	s.g.applyNotice(source, notice, sentAt, s.req.service)
 	if err != nil {
-		telemetry.Info(m.stream.g.opts.Logger, "freeing a KV cache copy failed", "request", m.stream.req.ID, "at", m.segment.target.ID, "err", err)
+		telemetry.Info(s.g.opts.Logger, "freeing a KV cache copy failed", "request", s.req.ID, "at", source.ID, "err", err)
 	}
 }
 
--- /dev/null
+++ b/gateway/stopsource.go
@@ -0,0 +1,103 @@
+package gateway
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalglade/quetzalglade/registry"
+	"github.com/quetzalglade/quetzalglade/telemetry"
+)
+
+// Timing of the stop of a request at its source.
+const (
+	// stopWait limits how long a stream pauses until its source confirms the stop. A
+	// source that is reached stops the request on receipt, before the copy.
+	stopWait = 250 * time.Millisecond
+	// stopRetryDelay is the time between two calls if a copy of the request is in
+	// progress at the source.
+	stopRetryDelay = 20 * time.Millisecond
+)
+
+// errSourceHeld means that the source of a stream has asked for no further calls.
+var errSourceHeld = errors.New("the source of the stream sheds load")
+
+// sourceStop is the outcome of the call that stops a request at its source.
+type sourceStop struct {
+	result MigrationResult
+	err    error
+}
+
+// confirmed reports whether the source does not run the request any more. A source that
+// refuses connections has ended.
+func (o *sourceStop) confirmed() bool {
+	return o.err == nil || o.result.Handle != "" || errors.IsAny(o.err, ErrUnknownRequest, syscall.ECONNREFUSED)
+}
+
+// stopAtSource ends the request at the target of a broken segment before it continues at
+// the next one: an engine may run a request on after its connection has closed. The
+// stream continues without a confirmation after stopWait.
+//
+// A source that still ran the request copies the KV cache to the next target. That copy
+// is complete, so it replaces the one that the next segment was to continue from.
+func (s *streamRequest) stopAtSource(ctx context.Context, seg, next *segment) {
+	e := s.req.service.Engine
+	if e == nil || !e.CanMigrate || s.g.opts.Migrator == nil {
+		return
+	}
+	startedAt := time.Now()
+	stopped := make(chan sourceStop)
+	expired := make(chan struct{})
+	go func() {
+		outcome := s.callStop(seg.target, next.target)
+		select {
+		case stopped <- outcome:
+		case <-expired:
+			if outcome.result.Handle != "" {
+				s.freeCopy(seg.target, outcome.result.Handle)
+			}
+		}
+	}()
+	timer := time.NewTimer(stopWait)
+	defer timer.Stop()
+	var outcome sourceStop
+	select {
+	case outcome = <-stopped:
+	case <-timer.C:
+		close(expired)
+		outcome.err = context.DeadlineExceeded
+	case <-ctx.Done():
+		close(expired)
+		outcome.err = ctx.Err()
+	}
+	switch {
+	case outcome.err == nil:
+		next.resume = &Resume{HolderAddr: seg.target.Addr, Handle: outcome.result.Handle, LastEventID: s.lastEventID}
+	case outcome.result.Handle != "":
+		go s.freeCopy(seg.target, outcome.result.Handle)
+	}
+	s.g.metrics.recordSourceStop(s.req.service.Name, outcome.confirmed())
+	telemetry.Info(s.g.opts.Logger, "source stop", "request", s.req.ID, "source", seg.target.ID, "next", next.target.ID,
+		"confirmed", outcome.confirmed(), "copied", outcome.err == nil, "err", outcome.err, "took_ms", time.Since(startedAt).Milliseconds())
+}
+
+// callStop asks a source to stop the request and to copy its KV cache to the destination.
+// While a copy that was requested before is in progress, it asks again.
+func (s *streamRequest) callStop(source, destination *registry.Target) sourceStop {
+	// The call outlives the client: the source must not run on without a reader.
+	ctx, cancel := context.WithTimeout(context.Background(), migrationTimeout)
+	defer cancel()
+	for {
+		sentAt := time.Now()
+		if !source.Load.HeldUntil(sentAt).IsZero() {
+			return sourceStop{err: errSourceHeld}
+		}
+		result, err := s.g.opts.Migrator.Migrate(ctx, source.Addr, MigrationRequest{RequestID: s.req.ID, DestinationAddr: destination.Addr, Stop: true})
+		s.g.applyNotice(source, result.Notice, sentAt, s.req.service)
+		if !errors.Is(err, ErrMigrationInProgress) || !sleep(ctx, stopRetryDelay) {
+			return sourceStop{result: result, err: err}
+		}
+	}
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -128,7 +128,11 @@
 		if !s.retrySpent {
 			s.failovers = s.failoverSegments(seg)
 		}
-		return s.failOver(seg)
+		next := s.failOver(seg)
+		if next != nil {
+			s.stopAtSource(ctx, seg, next)
+		}
+		return next
 	}
 	if seg.resume != nil {
 		return s.failOver(seg)
--- a/internal/platformtest/worker.go
+++ b/internal/platformtest/worker.go
@@ -71,6 +71,9 @@
 	// Endless makes a stream run until its client disconnects, unless it is a
 	// continuation, which ends after Events events of its own.
 	Endless bool
+	// KeepsRuns makes the worker run a stream to its end although its connection has
+	// closed, unless it is told to stop.
+	KeepsRuns bool
 
 	mu      sync.Mutex
 	leaving bool
@@ -80,7 +83,19 @@
 	rejections int
 	// kvCopies holds the handles of the KV cache copies on this worker.
 	kvCopies map[string]bool
-	active   int
+	// streams holds the streams that the worker is generating, by request ID.
+	streams map[string]*streamRun
+	// stops counts the streams that calls have stopped.
+	stops int
+	// ignoresMoves is set if calls that move KV caches get no response.
+	ignoresMoves bool
+	// full is set if moves of KV caches to this worker find no room.
+	full bool
+	// freed holds the handles of copies that calls have deleted.
+	freed     []string
+	closed    chan struct{}
+	closeOnce sync.Once
+	active    int
 	// crashBody is the request body that makes the worker crash, if not empty.
 	crashBody string
 	// crashPart is the ID of the part of a prompt that makes the worker crash, if not
@@ -89,11 +104,21 @@
 	workers   *WorkerSet
 }
 
+// streamRun is the generation of a stream by one worker.
+type streamRun struct {
+	// stop is closed to end the run, ended is closed once it has ended.
+	stop, ended chan struct{}
+	stopOnce    sync.Once
+}
+
 // WorkerSet is the set of the workers of a test, through which they copy KV caches
 // to each other.
 type WorkerSet struct {
 	mu     sync.Mutex
 	byAddr map[string]*Worker
+	// concurrentRuns holds the IDs of requests that were continued at a worker while
+	// another one still ran them.
+	concurrentRuns []string
 }
 
 // NewWorkerSet returns an empty set.
@@ -101,7 +126,7 @@
 
 // Start starts a worker and adds it to the set.
 func (ws *WorkerSet) Start(id string) *Worker {
-	w := &Worker{ID: id, Events: 5, EventInterval: time.Millisecond, kvCopies: map[string]bool{}, workers: ws}
+	w := &Worker{ID: id, Events: 5, EventInterval: time.Millisecond, kvCopies: map[string]bool{}, streams: map[string]*streamRun{}, closed: make(chan struct{}), workers: ws}
 	w.server = httptest.NewServer(http.HandlerFunc(w.serve))
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
@@ -115,11 +140,31 @@
 	return ws.byAddr[addr]
 }
 
+// ConcurrentRuns returns the IDs of requests that were continued at a worker while
+// another one still ran them.
+func (ws *WorkerSet) ConcurrentRuns() []string {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	return append([]string(nil), ws.concurrentRuns...)
+}
+
+// recordContinuation records whether another worker than w still runs a request.
+func (ws *WorkerSet) recordContinuation(w *Worker, id string) {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	for _, other := range ws.byAddr {
+		if other != w && other.findStream(id) != nil {
+			ws.concurrentRuns = append(ws.concurrentRuns, id)
+		}
+	}
+}
+
 // Addr returns the worker's "ip:port".
 func (w *Worker) Addr() string { return w.server.Listener.Addr().String() }
 
 // Close stops the worker and closes its connections.
 func (w *Worker) Close() {
+	w.closeOnce.Do(func() { close(w.closed) })
 	w.server.CloseClientConnections()
 	w.server.Close()
 }
@@ -142,6 +187,48 @@
 	return data
 }
 
+// Stops returns the number of streams that calls have stopped.
+func (w *Worker) Stops() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.stops
+}
+
+// IgnoreMoves makes the worker accept calls that move KV caches without acting on them
+// or responding.
+func (w *Worker) IgnoreMoves() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ignoresMoves = true
+}
+
+// RefuseMoves makes moves of KV caches to the worker find no room.
+func (w *Worker) RefuseMoves() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.full = true
+}
+
+// Freed returns the handles of the copies that calls at this worker have deleted.
+func (w *Worker) Freed() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]string(nil), w.freed...)
+}
+
+func (w *Worker) free(rw http.ResponseWriter, handle string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.freed = append(w.freed, handle)
+	rw.WriteHeader(http.StatusOK)
+}
+
+func (w *Worker) movesIgnored() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.ignoresMoves
+}
+
 // SetFaults sets the faults of the worker's next requests, one for each request.
 // It replaces the faults set before.
 func (w *Worker) SetFaults(faults ...WorkerFault) {
@@ -231,33 +318,91 @@
 }
 
 // migrate copies the KV cache of a request to another worker. The handle of the
-// copy contains the request ID.
+// copy contains the request ID. With "last", the run stops first.
 func (w *Worker) migrate(rw http.ResponseWriter, r *http.Request) {
 	var body struct {
 		ID     string `json:"id"`
 		Target string `json:"target"`
+		Last   bool   `json:"last"`
 	}
 	if json.NewDecoder(r.Body).Decode(&body) != nil {
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	destination := w.workers.lookUp(body.Target)
-	if destination == nil {
-		rw.WriteHeader(http.StatusServiceUnavailable)
+	if w.movesIgnored() {
+		select {
+		case <-r.Context().Done():
+		case <-w.closed:
+		}
+		return
+	}
+	run := w.findStream(body.ID)
+	if run == nil {
+		rw.WriteHeader(http.StatusNotFound)
 		return
 	}
 	handle := "moved-" + body.ID
-	destination.mu.Lock()
-	destination.kvCopies[handle] = true
-	destination.mu.Unlock()
+	if body.Last {
+		run.stopOnce.Do(func() { close(run.stop) })
+		<-run.ended
+		w.mu.Lock()
+		w.stops++
+		w.mu.Unlock()
+	}
+	if destination := w.workers.lookUp(body.Target); destination == nil || !destination.storeCopy(handle) {
+		response := map[string]any{}
+		if body.Last {
+			response["handle"] = handle
+		}
+		respond(rw, http.StatusServiceUnavailable, response)
+		return
+	}
 	respond(rw, http.StatusOK, map[string]any{"handle": handle, "created_rev": 1})
 }
 
+// storeCopy stores a copy of a KV cache and reports whether there is room for it.
+func (w *Worker) storeCopy(handle string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.full {
+		return false
+	}
+	w.kvCopies[handle] = true
+	return true
+}
+
+// findStream returns the run of a stream, nil if the worker does not run it.
+func (w *Worker) findStream(id string) *streamRun {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.streams[id]
+}
+
+// beginStream registers the run of a stream. The caller must call end.
+func (w *Worker) beginStream(id string) (run *streamRun, end func()) {
+	run = &streamRun{stop: make(chan struct{}), ended: make(chan struct{})}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.streams[id] = run
+	return run, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.streams[id] == run {
+			delete(w.streams, id)
+		}
+		close(run.ended)
+	}
+}
+
 func (w *Worker) serve(rw http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/v1/kv-move" {
 		w.migrate(rw, r)
 		return
 	}
+	if handle, ok := strings.CutPrefix(r.URL.Path, "/v1/kv-handle/"); ok {
+		w.free(rw, handle)
+		return
+	}
 	w.addActive(1)
 	defer w.addActive(-1)
 	id := r.Header.Get("X-Request-Id")
@@ -339,6 +484,11 @@
 		w.serveUndelimitedStream(rw, r, f)
 		return
 	}
+	id := r.Header.Get("X-Request-Id")
+	if r.Header.Get("Kv-From") != "" {
+		w.workers.recordContinuation(w, id)
+	}
+	run, end := w.beginStream(id)
 	rw.Header().Set("Content-Type", "text/event-stream")
 	rw.WriteHeader(http.StatusOK)
 	controller := http.NewResponseController(rw)
@@ -349,16 +499,39 @@
 			if f.Crash {
 				_ = w.server.Listener.Close()
 			}
+			w.abandon(run, end, w.Events-i)
 			panic(http.ErrAbortHandler)
 		}
 		_, _ = fmt.Fprintf(rw, "id: %d\ndata: token %d\n\n", i, i)
 		_ = controller.Flush()
 		select {
 		case <-time.After(w.EventInterval):
+		case <-run.stop:
+			end()
+			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
+			w.abandon(run, end, w.Events-i)
 			return
 		}
 	}
+	end()
+}
+
+// abandon ends the run of a stream whose connection has closed: at once or, if the worker
+// keeps its runs, after its remaining events.
+func (w *Worker) abandon(run *streamRun, end func(), remaining int) {
+	if !w.KeepsRuns {
+		end()
+		return
+	}
+	go func() {
+		defer end()
+		select {
+		case <-run.stop:
+		case <-w.closed:
+		case <-time.After(time.Duration(remaining) * w.EventInterval):
+		}
+	}()
 }
 
 // serveUndelimitedStream serves the events of a stream that ends with its connection: all
