operator: check garbage collection when one has completed

The bound was wrong, not the product.

The test now publishes until a collection has completed and then asks for just what collectGarbage promises: no document without a reference that is older than the replaced manifest, none missing that a retained manifest references, and the history within its limit after each publication. The old bound let two unreferenced old documents pass and saw no missing one of earlier manifests.

Ruled out: documents that a collection keeps wrongly.

--- a/operator/publish_test.go
+++ b/operator/publish_test.go
@@ -199,8 +199,10 @@
 // that deletes a document which a concurrent publication references again. Each
 // publication picks one of 80 variants of one document and one of 3 of another, so
 // that documents leave and re-enter the configuration. Every document of the current
-// manifest must exist, and the history and the number of documents must stay
-// limited.
+// manifest must exist. The history must stay limited, and a garbage collection that no
+// other publication interferes with must leave just the retained manifests, the
+// documents that they reference, and documents that are newer than the manifest that
+// the collecting publication has replaced.
 func TestGarbageCollectionKeepsCurrentDocuments(t *testing.T) {
 	for seed := range uint64(4) {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
@@ -219,32 +221,74 @@
 			}
 			wg.Wait()
 			requireComplete(t, client)
-			// A garbage collection completes only if no other publication interferes.
-			for v := range 2 {
-				if _, err := Publish(context.Background(), client, []config.Document{workspacesDocument("a", v, 1)}, "p", time.Now()); err != nil {
+			requireLimitedHistory(t, client)
+			// Documents of refused publications stay until a collection is due. It is due
+			// after this many further publications at the latest.
+			for v := range retainedVersions + manifestsPerCollection + 1 {
+				if _, err := Publish(context.Background(), client, []config.Document{workspacesDocument("a", v%2, 1)}, "p", time.Now()); err != nil {
 					t.Fatal(err)
 				}
+				m := requireComplete(t, client)
+				history := requireLimitedHistory(t, client)
+				if m.Version > retainedVersions+1 && len(history) == retainedVersions+1 {
+					requireNoOldDocuments(t, client, history)
+					t.Logf("collected at version %d, after %d publications", m.Version, v+1)
+					return
+				}
 			}
-			m := requireComplete(t, client)
-			kvs, _, err := client.Range(context.Background(), configsync.DocumentPrefix)
-			if err != nil {
-				t.Fatal(err)
-			}
-			history, _, err := client.Range(context.Background(), configsync.HistoryPrefix)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if len(history) > retainedVersions+manifestsPerCollection+1 {
-				t.Errorf("the store holds %d manifests at version %d", len(history), m.Version)
-			}
-			if len(kvs) > len(history)+2 {
-				t.Errorf("the store holds %d documents for %d manifests", len(kvs), len(history))
-			}
-			t.Logf("version %d, %d documents, %d manifests", m.Version, len(kvs), len(history))
+			t.Error("no garbage collection has completed")
 		})
 	}
 }
 
+// requireLimitedHistory returns the manifests in the store. It fails the test if there
+// are more than may accumulate between two garbage collections.
+func requireLimitedHistory(t *testing.T, store kvstore.Store) []kvstore.KV {
+	t.Helper()
+	history, _, err := store.Range(context.Background(), configsync.HistoryPrefix)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(history) > retainedVersions+manifestsPerCollection+1 {
+		t.Errorf("the store holds %d manifests", len(history))
+	}
+	return history
+}
+
+// requireNoOldDocuments fails the test if the store lacks a document that a manifest of
+// the history references, or has one that none references and that is older than the
+// last manifest but one. A publication that was refused may have written a newer one.
+func requireNoOldDocuments(t *testing.T, store kvstore.Store, history []kvstore.KV) {
+	t.Helper()
+	referenced := map[string]bool{}
+	for i := range history {
+		m, err := decodeManifest(&history[i])
+		if err != nil {
+			t.Fatal(err)
+		}
+		for digest := range references(&m) {
+			referenced[configsync.DocumentPrefix+digest] = true
+		}
+	}
+	documents, _, err := store.Range(context.Background(), configsync.DocumentPrefix)
+	if err != nil {
+		t.Fatal(err)
+	}
+	replaced := history[len(history)-2].ModRevision
+	found := 0
+	for _, kv := range documents {
+		switch {
+		case referenced[kv.Key]:
+			found++
+		case kv.ModRevision < replaced:
+			t.Errorf("no manifest references the document %s of revision %d, older than %d", kv.Key, kv.ModRevision, replaced)
+		}
+	}
+	if found < len(referenced) {
+		t.Errorf("the store holds %d of the %d documents that manifests reference", found, len(referenced))
+	}
+}
+
 // TestGarbageCollectionKeepsPendingDocuments guards against a garbage collection
 // that deletes the documents of a concurrent publication which has written them and
 // has not yet swapped the manifest.
