gateway: limit the memory of endless mismatched responses and events

Reported by operators: a faulty worker's bytes without end filled the memory of the machine that had called it, and other clients' requests ended with it.

Cause here: the limit for buffered bytes covered the bodies that are kept, not a response to another request (read into memory, 1 MiB each, to be dropped) and not the event that a stream is receiving (1 MiB for each stream).

Ruled out by the test: status lines, heads, chunk sizes, bodies, refusals and failures of streams; they were limited.

Bodies that are not kept are dropped as they are read, and the buffer of an event counts against the limit of the process.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -308,7 +308,7 @@
 		telemetry.Warn(g.opts.Logger, "skipped response to another request", "request", req.ID, "answer", at.respMeta.RequestID,
 			"target", at.target.ID, "status", resp.StatusCode, "reused", at.conn.Reused())
 		at.mismatched = true
-		if _, err := httpwire.ReadBody(resp.Body, maxMismatchedBodyBytes); err != nil || resp.Close {
+		if err := httpwire.DiscardBody(resp.Body, maxMismatchedBodyBytes); err != nil || resp.Close {
 			return errMismatchedResponse
 		}
 	}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -18,10 +18,24 @@
 type eventReader struct {
 	r   *bufio.Reader
 	buf bytes.Buffer
+	// account counts buf against the limit of buffered responses.
+	account *bufferAccount
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{r: bufio.NewReaderSize(r, 4<<10)}
+// newEventReader returns a reader that counts its buffer against the limit until release.
+func newEventReader(r io.Reader, limit *bufferLimit) *eventReader {
+	return &eventReader{r: bufio.NewReaderSize(r, 4<<10), account: limit.account()}
+}
+
+func (e *eventReader) release() { e.account.release() }
+
+// reset empties the buffer. It drops a buffer that counts against the limit.
+func (e *eventReader) reset() {
+	e.buf.Reset()
+	if e.account.counted() > 0 {
+		e.buf = bytes.Buffer{}
+		e.account.release()
+	}
 }
 
 // event is one server-sent event, including the blank line that ends it.
@@ -35,7 +49,7 @@
 // event are part of its raw bytes, so that a stream of them exceeds the size limit. The
 // error is io.EOF only if the stream ended cleanly after a complete event.
 func (e *eventReader) next() (event, error) {
-	e.buf.Reset()
+	e.reset()
 	var ev event
 	lineContinues, isBlank := false, true
 	for {
@@ -44,6 +58,9 @@
 		if e.buf.Len() > maxEventBytes {
 			return event{}, errEventTooLarge
 		}
+		if err := e.account.resize(int64(e.buf.Cap())); err != nil {
+			return event{}, err
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			lineContinues, isBlank = true, false
 			continue
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -27,7 +27,7 @@
 	for _, text := range []string{"xxxxxxxx", "xxxxxxx\n", "\n", "\r\n"} {
 		Convey("Endless bytes without an event end with an error", t, func() {
 			endless := &endlessReader{text: text}
-			_, err := newEventReader(endless).next()
+			_, err := newEventReader(endless, &bufferLimit{}).next()
 			So(err, ShouldEqual, errEventTooLarge)
 			So(endless.read, ShouldBeLessThan, 2*maxEventBytes)
 		})
@@ -38,7 +38,7 @@
 // complete in the middle of an event.
 func TestStreamKeepsItsBytes(t *testing.T) {
 	readAll := func(text string) (string, error) {
-		reader := newEventReader(strings.NewReader(text))
+		reader := newEventReader(strings.NewReader(text), &bufferLimit{})
 		var out strings.Builder
 		for {
 			ev, err := reader.next()
@@ -89,3 +89,42 @@
 		So(limit.used.Load(), ShouldEqual, 0)
 	})
 }
+
+// TestEndlessEventsDoNotFillMemory guards against targets whose events never end, which
+// together fill the memory of the process, and against the loss of short events meanwhile.
+func TestEndlessEventsDoNotFillMemory(t *testing.T) {
+	Convey("The buffers of all events together are limited, and short ones are read", t, func() {
+		limit := &bufferLimit{}
+		total := 0
+		var readers []*eventReader
+		for range 64 {
+			// The reader stops just below the limit of one event.
+			r := newEventReader(io.LimitReader(&endlessReader{text: "xxxxxxxx"}, maxEventBytes-1), limit)
+			readers = append(readers, r)
+			_, err := r.next()
+			So(errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, errBufferLimit), ShouldBeTrue)
+			total += r.buf.Cap()
+		}
+		So(total, ShouldBeLessThan, maxBufferedBytes+64*(2*freeBufferBytes)+2*maxEventBytes)
+		ev, err := newEventReader(strings.NewReader("id: 1\ndata: x\n\n"), limit).next()
+		So(err, ShouldBeNil)
+		So(ev.id, ShouldEqual, "1")
+		for _, r := range readers {
+			r.release()
+		}
+		So(limit.used.Load(), ShouldEqual, 0)
+	})
+	Convey("A large event counts until the next one is read", t, func() {
+		limit := &bufferLimit{}
+		large := "data: " + strings.Repeat("x", 4*freeBufferBytes) + "\n\n"
+		r := newEventReader(strings.NewReader(large+"data: y\n\n"), limit)
+		ev, err := r.next()
+		So(err, ShouldBeNil)
+		So(string(ev.raw), ShouldEqual, large)
+		So(limit.used.Load(), ShouldBeGreaterThan, 0)
+		ev, err = r.next()
+		So(err, ShouldBeNil)
+		So(string(ev.raw), ShouldEqual, "data: y\n\n")
+		So(limit.used.Load(), ShouldEqual, 0)
+	})
+}
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -239,8 +239,7 @@
 // relied on: it is complete and no other data follows it. A faulty target may send an
 // earlier response once more before the right one.
 func (at *attempt) isTrusted() bool {
-	_, err := httpwire.ReadBody(at.resp.Body, maxRefusalBytes)
-	return err == nil && at.conn.Buffered() == 0
+	return httpwire.DiscardBody(at.resp.Body, maxRefusalBytes) == nil && at.conn.Buffered() == 0
 }
 
 var errUntrustedRefusal = errors.New("other data follows the response that the request did not run")
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -271,7 +271,8 @@
 // target. It always returns an error: io.EOF for a clean end, errSwitch for a
 // switch.
 func (s *streamRequest) relayEvents(at *attempt, load *segmentLoad, seg *segment) error {
-	reader := newEventReader(at.resp.Body)
+	reader := newEventReader(at.resp.Body, &s.g.responseBuffer)
+	defer reader.release()
 	for {
 		ev, err := reader.next()
 		if err != nil {
--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -190,5 +190,18 @@
 	return data, nil
 }
 
-// ErrTooLarge is returned by ReadBody for a body over the limit.
+// DiscardBody reads a whole body of at most limit bytes without keeping it. It returns
+// ErrTooLarge for a larger one.
+func DiscardBody(body io.Reader, limit int64) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, limit+1))
+	if err != nil {
+		return errors.Wrap(err, "discard body")
+	}
+	if n > limit {
+		return ErrTooLarge
+	}
+	return nil
+}
+
+// ErrTooLarge is returned by ReadBody and DiscardBody for a body over the limit.
 var ErrTooLarge = errors.New("body exceeds the size limit")
--- a/internal/platformtest/worker.go
+++ b/internal/platformtest/worker.go
@@ -1,6 +1,7 @@
 package platformtest
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -45,6 +46,12 @@
 	// OmitLength sends a response, or a stream, that has neither a length nor chunks
 	// and ends with its connection.
 	OmitLength bool
+	// Endless, if not empty, is the start of a response; bytes without end follow it. In
+	// the text, {id} stands for the request ID. The worker pauses after PauseAfter bytes
+	// until Resume is closed.
+	Endless    string
+	PauseAfter int
+	Resume     <-chan struct{}
 	// TruncateResponse truncates a response that has a length.
 	TruncateResponse bool
 }
@@ -89,6 +96,7 @@
 	stops int
 	// ignoresMoves is set if calls that move KV caches get no response.
 	ignoresMoves bool
+	paused       int
 	// full is set if moves of KV caches to this worker find no room.
 	full bool
 	// freed holds the handles of copies that calls have deleted.
@@ -434,6 +442,10 @@
 		return
 	}
 	body := readAll(r)
+	if f.Endless != "" {
+		w.serveEndless(rw, f, id)
+		return
+	}
 	w.mu.Lock()
 	w.runs = append(w.runs, Run{ID: id, Path: r.RequestURI, Body: body, Header: r.Header.Clone(), FirstEvent: from})
 	w.mu.Unlock()
@@ -554,6 +566,49 @@
 	_ = buf.Flush()
 }
 
+// endlessPiece is what an endless response repeats.
+var endlessPiece = bytes.Repeat([]byte("x"), 32<<10)
+
+// serveEndless sends bytes without end until the connection closes or the worker stops.
+func (w *Worker) serveEndless(rw http.ResponseWriter, f WorkerFault, id string) {
+	conn, _, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = conn.Close() }()
+	paused := false
+	pause := func() {
+		paused = true
+		w.mu.Lock()
+		w.paused++
+		w.mu.Unlock()
+		select {
+		case <-f.Resume:
+		case <-w.closed:
+		}
+	}
+	sent, err := conn.Write([]byte(strings.ReplaceAll(f.Endless, "{id}", id)))
+	for err == nil {
+		if sent >= f.PauseAfter && !paused {
+			pause()
+		}
+		var n int
+		n, err = conn.Write(endlessPiece)
+		sent += n
+	}
+	if !paused {
+		pause()
+	}
+}
+
+// Paused returns the number of endless responses that have paused, or whose connection
+// has closed before.
+func (w *Worker) Paused() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.paused
+}
+
 // endsBefore reports whether a stream that started with event number from ends
 // before event number i.
 func (w *Worker) endsBefore(from, i int) bool {
