agent: limit the memory of endless replies and model lists

Cause: each reply was limited to 8 MiB, all of them together were not, and a list of models was decoded without any limit.

Ruled out by the test: events of an engine's stream, which its library limits.

The limit of the gateway moves to internal/bufferlimit and is used by both.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -18,6 +18,13 @@
 // buffered completely before its header is sent to the client.
 const maxResponseBytes = 8 << 20
 
+// Limits of what is buffered of responses at the same time: maxBufferedBytes for all of
+// them, of which the first freeBufferBytes of each do not count.
+const (
+	maxBufferedBytes = 16 << 20
+	freeBufferBytes  = 64 << 10
+)
+
 // maxDispatches limits the dispatches of one request, including those to
 // targets that did not run it. Failovers of a stream may exceed it.
 const maxDispatches = 4
@@ -115,8 +122,8 @@
 		}
 		return o
 	}
-	buffered := g.responseBuffer.reader(at.resp.Body)
-	defer buffered.release()
+	buffered := g.responseBuffer.NewReader(at.resp.Body)
+	defer buffered.Release()
 	if o.body, o.err = httpwire.ReadBody(buffered, maxResponseBytes); o.err != nil {
 		g.recordFailure(ctx, req, &o)
 		return o
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -6,6 +6,8 @@
 	"io"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalglade/quetzalglade/internal/bufferlimit"
 )
 
 // maxEventBytes limits one event of a stream.
@@ -19,22 +21,22 @@
 	r   *bufio.Reader
 	buf bytes.Buffer
 	// account counts buf against the limit of buffered responses.
-	account *bufferAccount
+	account *bufferlimit.Account
 }
 
 // newEventReader returns a reader that counts its buffer against the limit until release.
-func newEventReader(r io.Reader, limit *bufferLimit) *eventReader {
-	return &eventReader{r: bufio.NewReaderSize(r, 4<<10), account: limit.account()}
+func newEventReader(r io.Reader, limit *bufferlimit.Limit) *eventReader {
+	return &eventReader{r: bufio.NewReaderSize(r, 4<<10), account: limit.NewAccount()}
 }
 
-func (e *eventReader) release() { e.account.release() }
+func (e *eventReader) release() { e.account.Release() }
 
 // reset empties the buffer. It drops a buffer that counts against the limit.
 func (e *eventReader) reset() {
 	e.buf.Reset()
-	if e.account.counted() > 0 {
+	if e.account.Counted() > 0 {
 		e.buf = bytes.Buffer{}
-		e.account.release()
+		e.account.Release()
 	}
 }
 
@@ -58,7 +60,7 @@
 		if e.buf.Len() > maxEventBytes {
 			return event{}, errEventTooLarge
 		}
-		if err := e.account.resize(int64(e.buf.Cap())); err != nil {
+		if err := e.account.Resize(int64(e.buf.Cap())); err != nil {
 			return event{}, err
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -7,8 +7,12 @@
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/quetzalglade/quetzalglade/internal/bufferlimit"
 )
 
+func newTestLimit() *bufferlimit.Limit { return bufferlimit.New(maxBufferedBytes, freeBufferBytes) }
+
 // endlessReader repeats a text and counts the bytes that were read.
 type endlessReader struct {
 	text string
@@ -27,7 +31,7 @@
 	for _, text := range []string{"xxxxxxxx", "xxxxxxx\n", "\n", "\r\n"} {
 		Convey("Endless bytes without an event end with an error", t, func() {
 			endless := &endlessReader{text: text}
-			_, err := newEventReader(endless, &bufferLimit{}).next()
+			_, err := newEventReader(endless, newTestLimit()).next()
 			So(err, ShouldEqual, errEventTooLarge)
 			So(endless.read, ShouldBeLessThan, 2*maxEventBytes)
 		})
@@ -38,7 +42,7 @@
 // complete in the middle of an event.
 func TestStreamKeepsItsBytes(t *testing.T) {
 	readAll := func(text string) (string, error) {
-		reader := newEventReader(strings.NewReader(text), &bufferLimit{})
+		reader := newEventReader(strings.NewReader(text), newTestLimit())
 		var out strings.Builder
 		for {
 			ev, err := reader.next()
@@ -68,25 +72,25 @@
 // meanwhile.
 func TestEndlessBodiesDoNotFillMemory(t *testing.T) {
 	Convey("All buffered bodies together are limited, and short ones are read", t, func() {
-		limit := &bufferLimit{}
+		limit := newTestLimit()
 		total := 0
-		var bodies []*limitedBody
+		var bodies []*bufferlimit.Reader
 		for range 64 {
 			endless := &endlessReader{text: strings.Repeat("x", 32<<10)}
-			body := limit.reader(endless)
+			body := limit.NewReader(endless)
 			bodies = append(bodies, body)
 			_, err := io.ReadAll(io.LimitReader(body, maxResponseBytes))
-			So(err == nil || errors.Is(err, errBufferLimit), ShouldBeTrue)
+			So(err == nil || errors.Is(err, bufferlimit.ErrExceeded), ShouldBeTrue)
 			total += endless.read
 		}
 		So(total, ShouldBeLessThan, maxBufferedBytes+65*(freeBufferBytes+(64<<10)))
-		data, err := io.ReadAll(limit.reader(strings.NewReader("short")))
+		data, err := io.ReadAll(limit.NewReader(strings.NewReader("short")))
 		So(err, ShouldBeNil)
 		So(string(data), ShouldEqual, "short")
 		for _, b := range bodies {
-			b.release()
+			b.Release()
 		}
-		So(limit.used.Load(), ShouldEqual, 0)
+		So(limit.Used(), ShouldEqual, 0)
 	})
 }
 
@@ -94,7 +98,7 @@
 // together fill the memory of the process, and against the loss of short events meanwhile.
 func TestEndlessEventsDoNotFillMemory(t *testing.T) {
 	Convey("The buffers of all events together are limited, and short ones are read", t, func() {
-		limit := &bufferLimit{}
+		limit := newTestLimit()
 		total := 0
 		var readers []*eventReader
 		for range 64 {
@@ -102,7 +106,7 @@
 			r := newEventReader(io.LimitReader(&endlessReader{text: "xxxxxxxx"}, maxEventBytes-1), limit)
 			readers = append(readers, r)
 			_, err := r.next()
-			So(errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, errBufferLimit), ShouldBeTrue)
+			So(errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, bufferlimit.ErrExceeded), ShouldBeTrue)
 			total += r.buf.Cap()
 		}
 		So(total, ShouldBeLessThan, maxBufferedBytes+64*(2*freeBufferBytes)+2*maxEventBytes)
@@ -112,19 +116,19 @@
 		for _, r := range readers {
 			r.release()
 		}
-		So(limit.used.Load(), ShouldEqual, 0)
+		So(limit.Used(), ShouldEqual, 0)
 	})
 	Convey("A large event counts until the next one is read", t, func() {
-		limit := &bufferLimit{}
+		limit := newTestLimit()
 		large := "data: " + strings.Repeat("x", 4*freeBufferBytes) + "\n\n"
 		r := newEventReader(strings.NewReader(large+"data: y\n\n"), limit)
 		ev, err := r.next()
 		So(err, ShouldBeNil)
 		So(string(ev.raw), ShouldEqual, large)
-		So(limit.used.Load(), ShouldBeGreaterThan, 0)
+		So(limit.Used(), ShouldBeGreaterThan, 0)
 		ev, err = r.next()
 		So(err, ShouldBeNil)
 		So(string(ev.raw), ShouldEqual, "data: y\n\n")
-		So(limit.used.Load(), ShouldEqual, 0)
+		So(limit.Used(), ShouldEqual, 0)
 	})
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"github.com/quetzalglade/quetzalglade/decision"
 	"github.com/quetzalglade/quetzalglade/feed"
+	"github.com/quetzalglade/quetzalglade/internal/bufferlimit"
 	"github.com/quetzalglade/quetzalglade/internal/httpwire"
 	"github.com/quetzalglade/quetzalglade/kvstore"
 	"github.com/quetzalglade/quetzalglade/quarantine"
@@ -101,7 +102,7 @@
 	draining       atomic.Bool
 	slowdowns      slowdowns
 	retryBudgets   retryBudgets
-	responseBuffer bufferLimit
+	responseBuffer *bufferlimit.Limit
 	holdQueues     holdQueues
 }
 
@@ -116,6 +117,7 @@
 		connPool:       httpwire.NewPool(httpwire.PoolOptions{DialTimeout: dialTimeout, UserTimeout: unacknowledgedTimeout, MaxIdle: maxIdleConns}),
 		placementCosts: decision.DefaultPlacementCosts(),
 		metrics:        gatewayMetrics,
+		responseBuffer: bufferlimit.New(maxBufferedBytes, freeBufferBytes),
 	}
 	g.targets = registry.NewKeeper(g.decodeTarget, opts.Logger)
 	self := feed.Member{Name: opts.VM, Region: opts.Regions[opts.Datacentre], Addr: opts.PeerListener.Addr().String(), LinkMbps: opts.LinkMbps}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -271,7 +271,7 @@
 // target. It always returns an error: io.EOF for a clean end, errSwitch for a
 // switch.
 func (s *streamRequest) relayEvents(at *attempt, load *segmentLoad, seg *segment) error {
-	reader := newEventReader(at.resp.Body, &s.g.responseBuffer)
+	reader := newEventReader(at.resp.Body, s.g.responseBuffer)
 	defer reader.release()
 	for {
 		ev, err := reader.next()
@@ -382,8 +382,8 @@
 // response has a status other than 200 or is unsigned. If a response header was
 // already sent to the client, the stream fails instead.
 func (s *streamRequest) relayFailure(ctx context.Context, at *attempt) {
-	buffered := s.g.responseBuffer.reader(at.resp.Body)
-	defer buffered.release()
+	buffered := s.g.responseBuffer.NewReader(at.resp.Body)
+	defer buffered.Release()
 	body, err := httpwire.ReadBody(buffered, maxResponseBytes)
 	o := outcome{target: at.target, resp: at.resp, respMeta: at.respMeta, body: body, err: err, sent: true}
 	if err == nil && !at.respMeta.Signed {
--- a/internal/target/engine.go
+++ b/internal/target/engine.go
@@ -206,6 +206,9 @@
 	return nil
 }
 
+// maxModelsBytes limits the body of a list of models.
+const maxModelsBytes = 256 << 10
+
 // Models returns the names of the loaded models and adapters.
 func (e *Engine) Models(ctx context.Context) ([]string, error) {
 	var out struct {
@@ -222,7 +225,7 @@
 		return nil, errors.Wrap(err, "list engine models")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if err := json.NewDecoder(resp.Body).Decode(&out); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxModelsBytes)).Decode(&out); err != nil {
 		return nil, errors.Wrap(err, "list engine models")
 	}
 	var models []string
--- a/internal/target/plain.go
+++ b/internal/target/plain.go
@@ -8,17 +8,24 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalglade/quetzalglade/internal/bufferlimit"
 )
 
 // Plain is a client of one plain service.
 type Plain struct {
 	baseURL string
 	http    *http.Client
+	// buffered limits the replies that are being read.
+	buffered *bufferlimit.Limit
 }
 
 // NewPlain returns a client of the service at baseURL ("http://127.0.0.1:8080").
 func NewPlain(baseURL string, client *http.Client) *Plain {
-	return &Plain{baseURL: strings.TrimSuffix(baseURL, "/"), http: client}
+	return &Plain{
+		baseURL: strings.TrimSuffix(baseURL, "/"), http: client,
+		buffered: bufferlimit.New(maxBufferedBytes, freeBufferBytes),
+	}
 }
 
 // PlainCall is one call to a plain service.
@@ -37,8 +44,13 @@
 	Body   []byte
 }
 
-// maxReplyBytes limits the size of a response body.
-const maxReplyBytes = 8 << 20
+// Limits of response bodies: maxReplyBytes for each, maxBufferedBytes for all that are
+// being read, of which the first freeBufferBytes of each do not count.
+const (
+	maxReplyBytes    = 8 << 20
+	maxBufferedBytes = 16 << 20
+	freeBufferBytes  = 64 << 10
+)
 
 // ErrReplyTooLarge is returned by Do for a response body over 8 MiB.
 var ErrReplyTooLarge = errors.New("service reply exceeds the size limit")
@@ -67,7 +79,9 @@
 		return nil, errors.Wrap(err, "service")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
+	buffered := p.buffered.NewReader(resp.Body)
+	defer buffered.Release()
+	data, err := io.ReadAll(io.LimitReader(buffered, maxReplyBytes+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "read service reply")
 	}
