gateway: the 504 of a stream without events leaves open whether it ran

Callers got 504 with "ran":"no" when the deadline of a stream passed before its first event, though a target ran it; one that goes by the body runs it twice.

Cause: serveStream left its loop at the end of the context before it had recorded that the broken segment may have run.

Before: TestStreamWithoutEventsMayHaveRun failed ("ran":"no"). After: it passes. The other exits of calls and streams were not gone through here.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -92,6 +92,7 @@
 		if segResult == segmentDone {
 			return
 		}
+		s.mayHaveRun = s.mayHaveRun || segResult == segmentBroken
 		if ctx.Err() != nil {
 			break
 		}
@@ -120,11 +121,9 @@
 // number of segments before seg.
 func (s *streamRequest) nextSegment(ctx context.Context, seg *segment, segResult segmentResult, n int) *segment {
 	if _, _, quarantined := s.g.parts.Quarantined(s.req.SharedParts); quarantined {
-		s.mayHaveRun = s.mayHaveRun || segResult == segmentBroken
 		return nil
 	}
 	if segResult == segmentBroken {
-		s.mayHaveRun = true
 		if !s.retrySpent {
 			s.failovers = s.failoverSegments(seg)
 		}
--- a/internal/platformtest/worker.go
+++ b/internal/platformtest/worker.go
@@ -46,12 +46,16 @@
 	// OmitLength sends a response, or a stream, that has neither a length nor chunks
 	// and ends with its connection.
 	OmitLength bool
+	// Hang runs the request and sends nothing until Resume is closed or the connection
+	// closes. With Reject, the worker then rejects the request, which it has not run.
+	Hang bool
 	// Endless, if not empty, is the start of a response; bytes without end follow it. In
 	// the text, {id} stands for the request ID. The worker pauses after PauseAfter bytes
 	// until Resume is closed.
 	Endless    string
 	PauseAfter int
-	Resume     <-chan struct{}
+	// Resume ends a pause; nil stands for a pause without end.
+	Resume <-chan struct{}
 	// TruncateResponse truncates a response that has a length.
 	TruncateResponse bool
 }
@@ -428,6 +432,9 @@
 	if f.RepeatsEvent && from > 0 {
 		from--
 	}
+	if f.Reject && f.Hang {
+		w.hang(r, f)
+	}
 	if f.Reject {
 		w.mu.Lock()
 		w.rejections++
@@ -449,6 +456,9 @@
 	w.mu.Lock()
 	w.runs = append(w.runs, Run{ID: id, Path: r.RequestURI, Body: body, Header: r.Header.Clone(), FirstEvent: from})
 	w.mu.Unlock()
+	if f.Hang {
+		w.hang(r, f)
+	}
 	if w.crashesOn(r, body) {
 		_ = w.server.Listener.Close()
 		panic(http.ErrAbortHandler)
@@ -464,6 +474,18 @@
 	w.serveCall(rw, r, f, body)
 }
 
+// hang waits until the fault's pause ends or the connection closes.
+func (w *Worker) hang(r *http.Request, f WorkerFault) {
+	w.mu.Lock()
+	w.paused++
+	w.mu.Unlock()
+	select {
+	case <-f.Resume:
+	case <-r.Context().Done():
+	case <-w.closed:
+	}
+}
+
 // startEvent returns the number of the first event to generate, and false if the
 // request is a continuation and the worker does not hold the copy of its KV cache.
 // It deletes the copy, which serves only one continuation.
@@ -601,8 +623,8 @@
 	}
 }
 
-// Paused returns the number of endless responses that have paused, or whose connection
-// has closed before.
+// Paused returns the number of responses that have paused, and of endless ones whose
+// connection has closed before.
 func (w *Worker) Paused() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
