gateway: answer what a stop can't complete, pass nothing on late

Reported by operators: in a planned stop, requests taken late were cut at its end with no answer, also such that may run only once.

Cause here: the stop had a single deadline, the close of all connections. Requests in progress were cut there; one that no target had run yet was passed on until then; and requests were accepted for 2.5 s of any stop, however short.

Ruled out: requests on kept connections after the close of the listener (refused as not run, tested before) and opened connections (served).

Before: TestStopAnswersRequestsInProgress got cut connections and TestStopPassesOnNoRequestLate a 200 of a target that received the request after two thirds of the stop. After: both pass, with the race detector too.

The stop has phases now: it accepts in the first third at most, passes on until two thirds, and answers the requests in progress before it closes them.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -42,6 +42,10 @@
 		if t == nil {
 			break
 		}
+		if executions == 0 && g.stopPhase.dispatchEnded() {
+			last = outcome{target: t, err: errStopping}
+			break
+		}
 		if n > 0 && last.sent && !g.mayRetry(req, last, executions) {
 			break
 		}
@@ -163,6 +167,8 @@
 	switch {
 	case ctx.Err() != nil && (o.resp == nil || o.err != nil):
 		g.respondError(w, req, g.contextError(ctx, executions > 0))
+	case errors.Is(o.err, errStopping) && executions == 0:
+		g.respondError(w, req, stoppingError())
 	case o.target == nil:
 		g.respondError(w, req, g.unavailableError(req, result.New(result.NoTarget, result.RanNo, "no target serves this").RetryAfter(noTargetRetryAfter)))
 	case o.err != nil && o.sent:
@@ -200,12 +206,18 @@
 )
 
 // contextError returns the error for a request whose context has ended, because
-// the client disconnected or the deadline passed.
+// the client disconnected, the deadline passed or the process stops.
 func (g *Gateway) contextError(ctx context.Context, mayHaveRun bool) *result.Error {
 	ran := result.RanNo
 	if mayHaveRun {
 		ran = result.RanUnknown
 	}
+	switch stopping := errors.Is(context.Cause(ctx), errStopping); {
+	case stopping && mayHaveRun:
+		return result.New(result.OutcomeUnknown, ran, "this process stops before the target's answer")
+	case stopping:
+		return stoppingError()
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return result.New(result.Cancelled, ran, "the client left")
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -100,6 +100,7 @@
 	stopping       atomic.Bool
 	// draining is set once the listener for clients is closed.
 	draining       atomic.Bool
+	stopPhase      *stopPhase
 	slowdowns      slowdowns
 	retryBudgets   retryBudgets
 	responseBuffer *bufferlimit.Limit
@@ -117,6 +118,7 @@
 		connPool:       httpwire.NewPool(httpwire.PoolOptions{DialTimeout: dialTimeout, UserTimeout: unacknowledgedTimeout, MaxIdle: maxIdleConns}),
 		placementCosts: decision.DefaultPlacementCosts(),
 		metrics:        gatewayMetrics,
+		stopPhase:      newStopPhase(),
 		responseBuffer: bufferlimit.New(maxBufferedBytes, freeBufferBytes),
 	}
 	g.targets = registry.NewKeeper(g.decodeTarget, opts.Logger)
@@ -192,12 +194,14 @@
 }
 
 // stop reports the gateway as not ready to the load balancer, accepts requests
-// for BalancerGrace and then waits for active requests.
+// for BalancerGrace, or less in a short stop, and then waits for active requests. Those
+// that are still active at the end get an answer.
 func (g *Gateway) stop(frontend *frontend) {
 	startedAt := time.Now()
 	telemetry.Info(g.opts.Logger, "stopping", "requests", g.metrics.activeRequests.Load())
 	g.stopping.Store(true)
-	time.Sleep(g.opts.BalancerGrace)
+	g.stopPhase.begin(g.opts.DrainLimit)
+	time.Sleep(acceptTime(g.opts.BalancerGrace, g.opts.DrainLimit))
 	ctx, cancel := context.WithDeadline(context.Background(), startedAt.Add(g.opts.DrainLimit))
 	defer cancel()
 	frontend.shutdown(ctx)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -49,7 +49,7 @@
 	}
 	req, failure := g.admit(r)
 	if failure == nil && g.draining.Load() {
-		failure = result.New(result.TargetLeaving, result.RanNo, "this process stops").RetryAfter(stoppingRetryAfter)
+		failure = stoppingError()
 	}
 	if failure != nil {
 		g.respondError(w, req, failure)
@@ -57,6 +57,8 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	defer cancel()
+	ctx, cancel = g.stopPhase.requestContext(ctx)
+	defer cancel()
 	g.retryBudgets.countRequest(req.service.Name)
 	if req.route.Kind == routing.Stream {
 		g.serveStream(ctx, w, req)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -106,8 +106,12 @@
 }
 
 // initialSegment chooses the target and the backup target of a segment that
-// runs the request from the start. It returns nil if there is no target.
+// runs the request from the start. It returns nil if there is no target, or if the stop of
+// the process leaves too little time.
 func (s *streamRequest) initialSegment(ctx context.Context) *segment {
+	if s.g.stopPhase.dispatchEnded() {
+		return nil
+	}
 	t := s.g.placeStream(ctx, s.req)
 	if t == nil {
 		return nil
@@ -175,6 +179,10 @@
 		s.fail(ctx, nil, errNoTarget)
 		return
 	}
+	if s.g.stopPhase.dispatchEnded() {
+		s.g.respondError(s.w, s.req, stoppingError())
+		return
+	}
 	s.g.respondError(s.w, s.req, s.g.unavailableError(s.req, result.New(result.NoTarget, result.RanNo, "no target takes this").RetryAfter(noTargetRetryAfter)))
 }
 
