gateway, agent: test responses that break off at any byte

Reported by operators: a worker stopped in the middle of its answer's head, and clients got a 200 with an empty or short body, framed as whole.

It can't happen here: both heads are parsed by net/http, which returns an error for a head without its blank line. The tests cut responses after each byte (length, empty body, chunks, trailer, informational response, end of the connection, streams) and find none that looks complete.

--- a/internal/platformtest/worker.go
+++ b/internal/platformtest/worker.go
@@ -49,6 +49,9 @@
 	// Hang runs the request and sends nothing until Resume is closed or the connection
 	// closes. With Reject, the worker then rejects the request, which it has not run.
 	Hang bool
+	// Raw, if not empty, is all that the worker sends before it closes the connection. In
+	// the text, {id} stands for the request ID.
+	Raw string
 	// Endless, if not empty, is the start of a response; bytes without end follow it. In
 	// the text, {id} stands for the request ID. The worker pauses after PauseAfter bytes
 	// until Resume is closed.
@@ -453,6 +456,10 @@
 		w.serveEndless(rw, f, id)
 		return
 	}
+	if f.Raw != "" {
+		serveRaw(rw, strings.ReplaceAll(f.Raw, "{id}", id))
+		return
+	}
 	w.mu.Lock()
 	w.runs = append(w.runs, Run{ID: id, Path: r.RequestURI, Body: body, Header: r.Header.Clone(), FirstEvent: from})
 	w.mu.Unlock()
@@ -588,6 +595,16 @@
 	_ = buf.Flush()
 }
 
+// serveRaw sends a text and closes the connection.
+func serveRaw(rw http.ResponseWriter, text string) {
+	conn, _, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	_, _ = conn.Write([]byte(text))
+	_ = conn.Close()
+}
+
 // endlessPiece is what an endless response repeats.
 var endlessPiece = bytes.Repeat([]byte("x"), 32<<10)
 
