entry: refuse requests in the last third of a stop

Ruled out: agents, which refuse new work from the start of a stop.

Before: TestStoppingEntryRefusesLateRequests got an answer of the normal path (2008) after three quarters of the stop. After: 503 (2004, not run), so that another entry serves the request; the package passes with the race detector.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -93,6 +93,8 @@
 	batcher           *claim.Batcher
 	quarantine        *quarantine.Keeper
 	stopping          atomic.Bool
+	// stopEnding is set once so little of a stop is left that new requests are refused.
+	stopEnding atomic.Bool
 	// targetsDiscovered is set once the phases of all targets have been known at the
 	// same time.
 	targetsDiscovered atomic.Bool
@@ -196,6 +198,10 @@
 	return nil
 }
 
+// maxServeFraction is the part of DrainLimit in which requests on open connections are
+// served. The rest is left for those in progress.
+const maxServeFraction = 2.0 / 3
+
 // Serve runs the entry until ctx ends and then stops it gracefully: the entry
 // reports that it is not ready, accepts requests for BalancerGrace, and finishes
 // answers in progress for up to DrainLimit.
@@ -222,6 +228,8 @@
 	}
 	e.stopping.Store(true)
 	time.Sleep(e.opts.BalancerGrace)
+	ending := time.AfterFunc(time.Duration(maxServeFraction*float64(e.opts.DrainLimit)), func() { e.stopEnding.Store(true) })
+	defer ending.Stop()
 	stopHTTP()
 	err := <-httpDone
 	stopCore()
--- a/entry/server.go
+++ b/entry/server.go
@@ -19,12 +19,13 @@
 // health checks and metrics.
 func (e *Entry) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) { e.handleCompletion(w, r, false) })
-	mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) { e.handleCompletion(w, r, true) })
-	mux.HandleFunc("GET /v1/generations/{id}", e.handleResume)
-	mux.HandleFunc("DELETE /v1/generations/{id}", e.handleCancel)
-	mux.HandleFunc("POST /v1/keys", e.handleKeys)
-	mux.HandleFunc("/s/{service}/{path...}", e.handleCall)
+	handleCaller := func(pattern string, handle http.HandlerFunc) { mux.HandleFunc(pattern, e.refuseLate(handle)) }
+	handleCaller("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) { e.handleCompletion(w, r, false) })
+	handleCaller("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) { e.handleCompletion(w, r, true) })
+	handleCaller("GET /v1/generations/{id}", e.handleResume)
+	handleCaller("DELETE /v1/generations/{id}", e.handleCancel)
+	handleCaller("POST /v1/keys", e.handleKeys)
+	handleCaller("/s/{service}/{path...}", e.handleCall)
 	peerMux := http.NewServeMux()
 	peerMux.HandleFunc("GET "+peer.PathVMs, e.handleVMs)
 	e.config.Register(peerMux)
@@ -51,6 +52,18 @@
 	})
 }
 
+// refuseLate refuses callers' requests near the end of a stop, which might cut them off.
+// Another entry serves them.
+func (e *Entry) refuseLate(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if e.stopEnding.Load() {
+			result.Write(w, result.New(result.TargetLeaving, result.RanNo, "this process stops"))
+			return
+		}
+		next(w, r)
+	}
+}
+
 func (e *Entry) handleReady(w http.ResponseWriter, _ *http.Request) {
 	if !e.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
