gateway: select the route by the path that is forwarded

Cause: the route was selected by the decoded path, and the encoded one was forwarded.

Ruled out: the key check itself (the shorter route answers 401).

Before: all four parts of TestRouteIsSelectedByTheForwardedPath failed.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -78,7 +79,11 @@
 		return req, result.New(result.ConfigurationAbsent, result.RanNo, "no configuration is in force yet").RetryAfter(notReadyRetryAfter)
 	}
 	req.configVersion = table.Version
-	req.route = table.Match(r.Host, r.URL.Path)
+	path, ok := forwardedPath(r)
+	if !ok {
+		return req, result.New(result.InvalidRequest, result.RanNo, "the request target is not a path")
+	}
+	req.route = table.Match(r.Host, path)
 	if req.route == nil {
 		return req, result.New(result.UnknownService, result.RanNo, "no route matches the host and path")
 	}
@@ -105,6 +110,14 @@
 	return req, g.quarantinedPartError(r.Context(), req)
 }
 
+// forwardedPath returns the path of a request as it is forwarded, without the query. It is
+// not decoded: a target might read an encoded slash as data, and the route must not depend
+// on it. It returns false for a request target in absolute or asterisk form.
+func forwardedPath(r *http.Request) (string, bool) {
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	return path, strings.HasPrefix(path, "/")
+}
+
 func authenticate(table *routing.Table, req *request) *result.Error {
 	var workspace *routing.Workspace
 	if table.KeysRequired && !req.route.Public {
--- a/routing/table.go
+++ b/routing/table.go
@@ -185,7 +185,7 @@
 }
 
 // Match returns the route of a request: of the routes for its host, the one
-// with the longest prefix of its path. Routes for the host with its port take
+// with the longest prefix of its path, compared byte for byte. Routes for the host with its port take
 // precedence over routes for the host without it. Match returns nil if there is no
 // route.
 func (t *Table) Match(host, path string) *Route {
