gateway: continue a stream only from a copy that its own segment shows

Cause: the backup counted as filled once the client had any event, also one of an earlier segment. Now an event of the segment itself is needed: the copy grows with the run that generates it.

Ruled out: the first backup, whose segment has delivered events.

Before: TestContinuationWithoutEventsIsNotContinued saw 4 runs where 2 are due. After: it passes.

--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -264,9 +264,9 @@
 	add := func(t *registry.Target, holderAddr, handle string) {
 		segments = append(segments, &segment{target: t, resume: &Resume{HolderAddr: holderAddr, Handle: handle, LastEventID: s.lastEventID}})
 	}
-	// Before the first event, nothing shows that the backup contains any KV
+	// Before the segment's first event, nothing shows that its backup contains any KV
 	// cache of the request. A target without it might start the request anew.
-	if seg.backup != nil && s.deliveredEvents > 0 && !seg.backup.Load.IsLeaving() {
+	if seg.backup != nil && !seg.firstEventAt.IsZero() && !seg.backup.Load.IsLeaving() {
 		add(seg.backup, seg.backup.Addr, s.req.ID)
 	}
 	if seg.migration == nil {
