gateway: keep the copy that a stream continues from

A source may know the earlier, usable copy under the same handle.

An answer without a handle no longer replaces the copy either. The constants and the file are named after the source stop.

--- a/gateway/stopsource.go
+++ b/gateway/sourcestop.go
@@ -13,12 +13,12 @@
 
 // Timing of the stop of a request at its source.
 const (
-	// stopWait limits how long a stream pauses until its source confirms the stop. A
+	// sourceStopTimeout limits how long a stream pauses until its source confirms the stop. A
 	// source that is reached stops the request on receipt, before the copy.
-	stopWait = 250 * time.Millisecond
-	// stopRetryDelay is the time between two calls if a copy of the request is in
+	sourceStopTimeout = 250 * time.Millisecond
+	// sourceStopRetryDelay is the time between two calls if a copy of the request is in
 	// progress at the source.
-	stopRetryDelay = 20 * time.Millisecond
+	sourceStopRetryDelay = 20 * time.Millisecond
 )
 
 // errSourceHeld means that the source of a stream has asked for no further calls.
@@ -38,7 +38,7 @@
 
 // stopAtSource ends the request at the target of a broken segment before it continues at
 // the next one: an engine may run a request on after its connection has closed. The
-// stream continues without a confirmation after stopWait.
+// stream continues without a confirmation after sourceStopTimeout.
 //
 // A source that still ran the request copies the KV cache to the next target. That copy
 // is complete, so it replaces the one that the next segment was to continue from.
@@ -48,6 +48,7 @@
 		return
 	}
 	startedAt := time.Now()
+	resume := *next.resume
 	stopped := make(chan sourceStop)
 	expired := make(chan struct{})
 	go func() {
@@ -55,12 +56,10 @@
 		select {
 		case stopped <- outcome:
 		case <-expired:
-			if outcome.result.Handle != "" {
-				s.freeCopy(seg.target, outcome.result.Handle)
-			}
+			s.freeUnlessResumed(seg.target, outcome.result.Handle, resume)
 		}
 	}()
-	timer := time.NewTimer(stopWait)
+	timer := time.NewTimer(sourceStopTimeout)
 	defer timer.Stop()
 	var outcome sourceStop
 	select {
@@ -72,15 +71,24 @@
 		close(expired)
 		outcome.err = ctx.Err()
 	}
-	switch {
-	case outcome.err == nil:
+	copied := outcome.err == nil && outcome.result.Handle != ""
+	if copied {
 		next.resume = &Resume{HolderAddr: seg.target.Addr, Handle: outcome.result.Handle, LastEventID: s.lastEventID}
-	case outcome.result.Handle != "":
-		go s.freeCopy(seg.target, outcome.result.Handle)
+	} else {
+		go s.freeUnlessResumed(seg.target, outcome.result.Handle, resume)
 	}
 	s.g.metrics.recordSourceStop(s.req.service.Name, outcome.confirmed())
 	telemetry.Info(s.g.opts.Logger, "source stop", "request", s.req.ID, "source", seg.target.ID, "next", next.target.ID,
-		"confirmed", outcome.confirmed(), "copied", outcome.err == nil, "err", outcome.err, "took_ms", time.Since(startedAt).Milliseconds())
+		"confirmed", outcome.confirmed(), "copied", copied, "err", outcome.err, "took_ms", time.Since(startedAt).Milliseconds())
+}
+
+// freeUnlessResumed deletes what a source holds under a handle, if any, unless the stream
+// continues from it: a source may know all copies of a request under one handle.
+func (s *streamRequest) freeUnlessResumed(source *registry.Target, handle string, resume Resume) {
+	if handle == "" || resume.HolderAddr == source.Addr && resume.Handle == handle {
+		return
+	}
+	s.freeCopy(source, handle)
 }
 
 // callStop asks a source to stop the request and to copy its KV cache to the destination.
@@ -96,7 +104,7 @@
 		}
 		result, err := s.g.opts.Migrator.Migrate(ctx, source.Addr, MigrationRequest{RequestID: s.req.ID, DestinationAddr: destination.Addr, Stop: true})
 		s.g.applyNotice(source, result.Notice, sentAt, s.req.service)
-		if !errors.Is(err, ErrMigrationInProgress) || !sleep(ctx, stopRetryDelay) {
+		if !errors.Is(err, ErrMigrationInProgress) || !sleep(ctx, sourceStopRetryDelay) {
 			return sourceStop{result: result, err: err}
 		}
 	}
--- a/internal/platformtest/worker.go
+++ b/internal/platformtest/worker.go
@@ -104,7 +104,7 @@
 	// ignoresMoves is set if calls that move KV caches get no response.
 	ignoresMoves bool
 	paused       int
-	// full is set if moves of KV caches to this worker find no room.
+	// full is set if moves to this worker from a run that has stopped find no room.
 	full bool
 	// freed holds the handles of copies that calls have deleted.
 	freed     []string
@@ -149,6 +149,19 @@
 	return w
 }
 
+// others returns the workers of the set except w.
+func (ws *WorkerSet) others(w *Worker) []*Worker {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	var others []*Worker
+	for _, other := range ws.byAddr {
+		if other != w {
+			others = append(others, other)
+		}
+	}
+	return others
+}
+
 func (ws *WorkerSet) lookUp(addr string) *Worker {
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
@@ -217,8 +230,9 @@
 	w.ignoresMoves = true
 }
 
-// RefuseMoves makes moves of KV caches to the worker find no room.
-func (w *Worker) RefuseMoves() {
+// RefuseLastMoves makes moves of KV caches to the worker find no room if their run has
+// stopped.
+func (w *Worker) RefuseLastMoves() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.full = true
@@ -232,12 +246,21 @@
 }
 
 func (w *Worker) free(rw http.ResponseWriter, handle string) {
+	for _, other := range w.workers.others(w) {
+		other.dropCopy(handle)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.freed = append(w.freed, handle)
 	rw.WriteHeader(http.StatusOK)
 }
 
+func (w *Worker) dropCopy(handle string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.kvCopies, handle)
+}
+
 func (w *Worker) movesIgnored() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -364,7 +387,7 @@
 		w.stops++
 		w.mu.Unlock()
 	}
-	if destination := w.workers.lookUp(body.Target); destination == nil || !destination.storeCopy(handle) {
+	if destination := w.workers.lookUp(body.Target); destination == nil || !destination.storeCopy(handle, body.Last) {
 		response := map[string]any{}
 		if body.Last {
 			response["handle"] = handle
@@ -375,11 +398,12 @@
 	respond(rw, http.StatusOK, map[string]any{"handle": handle, "created_rev": 1})
 }
 
-// storeCopy stores a copy of a KV cache and reports whether there is room for it.
-func (w *Worker) storeCopy(handle string) bool {
+// storeCopy stores a copy of a KV cache and reports whether there is room for it. The
+// argument last is set for the copy of a run that has stopped.
+func (w *Worker) storeCopy(handle string, last bool) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.full {
+	if w.full && last {
 		return false
 	}
 	w.kvCopies[handle] = true
@@ -432,10 +456,16 @@
 	}
 	f := w.nextFault()
 	from, canRun := w.startEvent(r)
-	if f.RepeatsEvent && from > 0 {
-		from--
+	if f.Reject || !canRun && !f.RunsWithoutCopy {
+		w.reject(rw, r, f)
+		return
 	}
-	if f.Reject && f.Hang {
+	w.run(rw, r, f, from)
+}
+
+// reject rejects a request without running it.
+func (w *Worker) reject(rw http.ResponseWriter, r *http.Request, f WorkerFault) {
+	if f.Hang {
 		w.hang(r, f)
 	}
 	if f.Reject {
@@ -443,14 +473,19 @@
 		w.rejections++
 		w.mu.Unlock()
 	}
-	if f.Reject || !canRun && !f.RunsWithoutCopy {
-		rw.Header().Set("X-Not-Executed", "1")
-		if f.RetryAfter != "" {
-			rw.Header().Set("Retry-After", f.RetryAfter)
-		}
-		rw.WriteHeader(http.StatusServiceUnavailable)
-		return
+	rw.Header().Set("X-Not-Executed", "1")
+	if f.RetryAfter != "" {
+		rw.Header().Set("Retry-After", f.RetryAfter)
 	}
+	rw.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// run runs a request; from is the number of the first event of a stream.
+func (w *Worker) run(rw http.ResponseWriter, r *http.Request, f WorkerFault, from int) {
+	if f.RepeatsEvent && from > 0 {
+		from--
+	}
+	id := r.Header.Get("X-Request-Id")
 	body := readAll(r)
 	if f.Endless != "" {
 		w.serveEndless(rw, f, id)
