gateway: honour allowed regions and evacuations in every choice of a target

Cause: no code read allowed_regions of routes and workspaces, nor the operator's evacuation keys.

Change: routing.Regions is the typed constraint; the one of the request's arrival and the one in force both apply. Evacuations are watched and passed on like the configuration, and are in force before a gateway is ready. Both are checked for placement, copies, continuations and holds, and once more just before a request is sent. Without an eligible target a request is refused at once with 2011 or 2012 as not run.

Ruled out: moving running streams out of an evacuated data centre. The operator asks that nothing more is sent there; a move pauses the stream and spends a retry.

--- a/cmd/quetzalglade-gateway/main.go
+++ b/cmd/quetzalglade-gateway/main.go
@@ -52,6 +52,7 @@
 	opts.ReadyPath = platform.ReadyPath
 	opts.TableKey = platform.ConfigKey
 	opts.TargetPrefix = platform.TargetPrefix
+	opts.EvacuationPrefix = platform.EvacuationPrefix
 	opts.DecodeTable = platform.DecodeConfig
 	opts.DecodeTarget = platform.DecodeTarget
 	g, err := gateway.New(opts)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -14,14 +14,16 @@
 	"github.com/quetzalglade/quetzalglade/telemetry"
 )
 
-// placementCandidates returns the ready targets that are not excluded, and the load of each.
+// placementCandidates returns the ready targets that are
+// eligible and not excluded, and the load of each.
 func (g *Gateway) placementCandidates(req *request, exclude map[string]bool) ([]*registry.Target, []decision.PlacementTarget) {
 	now := time.Now()
+	eligible := g.eligibility(req)
 	ready := g.targets.Snapshot().Ready(req.service.Name)
 	candidates := make([]decision.PlacementTarget, 0, len(ready))
 	targets := make([]*registry.Target, 0, len(ready))
 	for _, t := range ready {
-		if exclude[t.ID] || !acceptsWork(t, now) {
+		if exclude[t.ID] || !acceptsWork(t, now) || !eligible.allows(t) {
 			continue
 		}
 		targets = append(targets, t)
@@ -113,10 +115,11 @@
 // delays the copies queued behind it.
 func (g *Gateway) copyCandidates(req *request, primary *registry.Target, fill float64) ([]*registry.Target, []decision.CopyTarget) {
 	now := time.Now()
+	eligible := g.eligibility(req)
 	var targets []*registry.Target
 	var candidates []decision.CopyTarget
 	for _, t := range g.targets.Snapshot().Ready(req.service.Name) {
-		if t.ID == primary.ID || !acceptsWork(t, now) {
+		if t.ID == primary.ID || !acceptsWork(t, now) || !eligible.allows(t) {
 			continue
 		}
 		c := decision.CopyTarget{PlacementTarget: g.placementCandidate(req, t, now)}
@@ -272,6 +275,9 @@
 	if err := checkStart(t, a.Resume != nil, time.Now()); err != nil {
 		return at, err
 	}
+	if eligible := g.eligibility(req); !eligible.allows(t) {
+		return at, errTargetNotEligible
+	}
 	msg := req.upstream
 	msg.Header = msg.Header.Clone()
 	a.Target = t.ID
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,10 +48,13 @@
 	// of the store keys of targets.
 	TableKey     string
 	TargetPrefix string
-	DecodeTable  func(data []byte) (*routing.Table, error)
-	DecodeTarget registry.Decode
-	Codec        Codec
-	Logger       log.Logger
+	// EvacuationPrefix is the prefix of the store keys by which the operator evacuates data
+	// centres; the rest of a key is the name of the data centre.
+	EvacuationPrefix string
+	DecodeTable      func(data []byte) (*routing.Table, error)
+	DecodeTarget     registry.Decode
+	Codec            Codec
+	Logger           log.Logger
 	// SidecarWatcher reads the load reports of the sidecars, which listen on port
 	// SidecarPort of the targets' VMs; nil if there are no sidecars.
 	SidecarWatcher SidecarWatcher
@@ -109,6 +112,9 @@
 	responseBuffer *bufferlimit.Limit
 	bodies         *bodybudget.Budget
 	holdQueues     holdQueues
+	evacuations    *evacuations
+	// unknownRegions counts regions in configurations that no data centre has.
+	unknownRegions atomic.Int64
 }
 
 // New returns a gateway that is not yet serving.
@@ -133,6 +139,14 @@
 	self := feed.Member{Name: opts.VM, Region: opts.Regions[opts.Datacentre], Addr: opts.PeerListener.Addr().String(), LinkMbps: opts.LinkMbps}
 	g.members = feed.NewMemberRegistry(self, opts.Store, opts.Logger)
 	g.feedHub = feed.NewHub()
+	g.evacuations = newEvacuations(opts.EvacuationPrefix, opts.Regions, opts.Logger)
+	if opts.EvacuationPrefix != "" {
+		// Before the configuration, which makes the gateway ready.
+		g.feedHub.Subscribe(opts.EvacuationPrefix, g.evacuations)
+	}
+	gatewayMetrics.Gauge("evacuated_datacentres", "Data centres that are evacuated.", g.evacuations.count)
+	gatewayMetrics.Gauge("evacuations_unknown", "Evacuations of data centres that the settings do not name.", g.evacuations.unknown.Load)
+	gatewayMetrics.Gauge("regions_unknown", "Regions in configurations that no data centre has.", g.unknownRegions.Load)
 	g.feedHub.Subscribe(opts.TableKey, &tableFollower{g: g})
 	g.feedHub.Subscribe(opts.TargetPrefix, g.targets)
 	g.feedHub.Subscribe(feed.MemberPrefix, g.members)
@@ -347,6 +361,7 @@
 	source, stateAge := g.feedSource.Current()
 	telemetry.Info(g.opts.Logger, "configuration in force", "config_version", table.Version, "before", g.configVersion(), "revision", kv.ModRevision,
 		"source", source, "state_age_ms", stateAge.Milliseconds(), "bytes", len(kv.Value))
+	g.logUnknownRegions(table)
 	g.table.Store(table)
 	return true
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -17,10 +17,14 @@
 // request is a client's request while the gateway serves it.
 type request struct {
 	RequestMeta
-	route         *routing.Route
-	service       *routing.Service
-	workspace     string
-	priority      int
+	route     *routing.Route
+	service   *routing.Service
+	workspace string
+	priority  int
+	// path is the path by which the route was selected, regions the regions in which the
+	// request may be served by the configuration at its arrival.
+	path          string
+	regions       routing.Regions
 	configVersion int64
 	// upstream is the request as it is sent to targets, without its body.
 	upstream httpwire.Request
@@ -86,6 +90,7 @@
 	if !ok {
 		return req, result.New(result.InvalidRequest, result.RanNo, "the request target is not a path")
 	}
+	req.path = path
 	req.route = table.Match(r.Host, path)
 	if req.route == nil {
 		return req, result.New(result.UnknownService, result.RanNo, "no route matches the host and path")
@@ -93,6 +98,7 @@
 	if failure := authenticate(table, req); failure != nil {
 		return req, failure
 	}
+	req.regions = table.RegionsFor(r.Host, path, req.workspace)
 	if metaErr != nil {
 		return req, result.New(result.InvalidRequest, result.RanNo, "%v", metaErr)
 	}
--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -261,18 +261,19 @@
 // given segment, best first. A copy that a migration made precedes the backup.
 func (s *streamRequest) failoverSegments(seg *segment) []*segment {
 	var segments []*segment
+	eligible := s.g.eligibility(s.req)
 	add := func(t *registry.Target, holderAddr, handle string) {
 		segments = append(segments, &segment{target: t, resume: &Resume{HolderAddr: holderAddr, Handle: handle, LastEventID: s.lastEventID}})
 	}
 	// Before the segment's first event, nothing shows that its backup contains any KV
 	// cache of the request. A target without it might start the request anew.
-	if seg.backup != nil && !seg.firstEventAt.IsZero() && !seg.backup.Load.IsLeaving() {
+	if seg.backup != nil && !seg.firstEventAt.IsZero() && !seg.backup.Load.IsLeaving() && eligible.allows(seg.backup) {
 		add(seg.backup, seg.backup.Addr, s.req.ID)
 	}
 	if seg.migration == nil {
 		return segments
 	}
-	if c := seg.migration.copy.Load(); c != nil && !c.target.Load.IsLeaving() && time.Since(c.completedAt) < copyTTL {
+	if c := seg.migration.copy.Load(); c != nil && !c.target.Load.IsLeaving() && time.Since(c.completedAt) < copyTTL && eligible.allows(c.target) {
 		seg.migration.copyUsed.Store(true)
 		add(c.target, seg.target.Addr, c.handle)
 		if len(segments) == 2 {
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -159,7 +159,7 @@
 		if t := g.chooseTarget(req, exclude); t != nil {
 			return t
 		}
-		end, _ := g.firstHoldEnd(req.service.Name, time.Now())
+		end, _ := g.firstHoldEnd(req, time.Now())
 		if end.IsZero() || end.Sub(req.arrivedAt) > time.Duration(maxHoldWaitFraction*float64(req.route.TargetLatency)) {
 			return nil
 		}
@@ -170,11 +170,12 @@
 	return nil
 }
 
-// firstHoldEnd returns when the first hold of a service's targets ends, and the slots of
-// the held targets. The time is zero if a target that is not leaving is not held.
-func (g *Gateway) firstHoldEnd(service string, now time.Time) (end time.Time, slots int) {
-	for _, t := range g.targets.Snapshot().Ready(service) {
-		if t.Load.IsLeaving() {
+// firstHoldEnd returns when the first hold of a request's eligible targets ends, and the
+// slots of the held targets. The time is zero if a target that is not leaving is not held.
+func (g *Gateway) firstHoldEnd(req *request, now time.Time) (end time.Time, slots int) {
+	eligible := g.eligibility(req)
+	for _, t := range g.targets.Snapshot().Ready(req.service.Name) {
+		if t.Load.IsLeaving() || !eligible.allows(t) {
 			continue
 		}
 		heldUntil := t.Load.HeldUntil(now)
@@ -221,8 +222,11 @@
 // unavailableError returns the error for a request that has not run and that no target
 // takes now. If all targets are held, the client is asked to return after the first hold.
 func (g *Gateway) unavailableError(req *request, failure *result.Error) *result.Error {
+	if ineligible := g.ineligibleError(req); ineligible != nil {
+		return ineligible
+	}
 	now := time.Now()
-	end, slots := g.firstHoldEnd(req.service.Name, now)
+	end, slots := g.firstHoldEnd(req, now)
 	if end.IsZero() {
 		return failure
 	}
--- a/gateway/sourcestop.go
+++ b/gateway/sourcestop.go
@@ -92,8 +92,14 @@
 }
 
 // canReturnToSource reports whether the stream can continue at the source that has stopped
-// it. It returns once at most, since its source leaves.
-func (s *streamRequest) canReturnToSource() bool { return s.kept != nil && !s.returned }
+// it. It returns once at most, since its source leaves, and not to an evacuated data centre.
+func (s *streamRequest) canReturnToSource() bool {
+	if s.kept == nil || s.returned {
+		return false
+	}
+	eligible := s.g.eligibility(s.req)
+	return eligible.allows(s.kept.source)
+}
 
 // returnToSource returns the segment that continues the stream at that source.
 func (s *streamRequest) returnToSource() *segment {
--- a/result/code.go
+++ b/result/code.go
@@ -34,6 +34,8 @@
 	ConfigurationAbsent Code = 2008
 	AttemptRevoked      Code = 2009
 	MemoryFull          Code = 2010
+	RegionUnavailable   Code = 2011
+	Evacuated           Code = 2012
 	EngineLost          Code = 3001
 	OutcomeUnknown      Code = 3002
 	Cancelled           Code = 3003
@@ -78,6 +80,8 @@
 	ConfigurationAbsent: {"configuration_absent", http.StatusServiceUnavailable, "after the stated delay", "No configuration is in force here yet."},
 	AttemptRevoked:      {"attempt_revoked", http.StatusConflict, "at once", "The attempt was withdrawn before it began."},
 	MemoryFull:          {"memory_full", http.StatusServiceUnavailable, "after the stated delay", "The bodies of other requests leave no memory for this one."},
+	RegionUnavailable:   {"region_unavailable", http.StatusServiceUnavailable, "after the stated delay", "No target is in a region in which this request may be served."},
+	Evacuated:           {"evacuated", http.StatusServiceUnavailable, "after the stated delay", "All targets for this request are in data centres that are evacuated."},
 	EngineLost:          {"engine_lost", http.StatusBadGateway, "yes, as a new generation", "The target was lost during the generation."},
 	OutcomeUnknown:      {"outcome_unknown", http.StatusBadGateway, "only if the work is idempotent", "The target may or may not have run the call."},
 	Cancelled:           {"cancelled", statusClientClosed, "yes", "The caller cancelled the request."},
--- a/routing/table.go
+++ b/routing/table.go
@@ -56,6 +56,9 @@
 	// Priority is the priority of the route's requests; 0 is the most urgent.
 	Priority int
 	Backends []Backend
+	// AllowedRegions are the regions in which the route's requests may be served and
+	// their data may be held.
+	AllowedRegions Regions
 }
 
 // PickService returns the name of a service, chosen by the weights of the backends. u
@@ -119,6 +122,9 @@
 	APIKeys []string
 	// Priority, if set, takes precedence over the priority of the route.
 	Priority *int
+	// AllowedRegions limits the regions of the workspace's requests in addition to the
+	// limit of the route.
+	AllowedRegions Regions
 }
 
 // Limits are the limits of client connections: the sizes of the header and the
@@ -141,6 +147,7 @@
 	routesByHost    map[string][]*Route
 	services        map[string]*Service
 	workspacesByKey map[string]*Workspace
+	workspaces      map[string]*Workspace
 	mostUrgent      map[string]*Route
 }
 
@@ -150,7 +157,7 @@
 	t := &Table{
 		Version: version, Limits: limits, KeysRequired: len(workspaces) > 0,
 		routesByHost: map[string][]*Route{}, services: map[string]*Service{}, workspacesByKey: map[string]*Workspace{},
-		mostUrgent: map[string]*Route{},
+		mostUrgent: map[string]*Route{}, workspaces: map[string]*Workspace{},
 	}
 	for i := range routes {
 		r := &routes[i]
@@ -165,6 +172,7 @@
 		t.services[services[i].Name] = &services[i]
 	}
 	for i := range workspaces {
+		t.workspaces[workspaces[i].Name] = &workspaces[i]
 		for _, key := range workspaces[i].APIKeys {
 			t.workspacesByKey[key] = &workspaces[i]
 		}
@@ -207,6 +215,38 @@
 // none.
 func (t *Table) Workspace(key string) *Workspace { return t.workspacesByKey[key] }
 
+// RegionsFor returns the regions in which a request with the given host, path and
+// workspace may be served. A route or workspace that the table does not hold sets no limit.
+func (t *Table) RegionsFor(host, path, workspace string) Regions {
+	var regions Regions
+	if r := t.Match(host, path); r != nil {
+		regions = r.AllowedRegions
+	}
+	if w := t.workspaces[workspace]; w != nil {
+		regions = regions.Intersect(w.AllowedRegions)
+	}
+	return regions
+}
+
+// LimitedRegions returns the names of all regions to which routes and workspaces are limited.
+func (t *Table) LimitedRegions() map[string]bool {
+	names := map[string]bool{}
+	add := func(r Regions) {
+		for _, name := range r.Names() {
+			names[name] = true
+		}
+	}
+	for _, routes := range t.routesByHost {
+		for _, r := range routes {
+			add(r.AllowedRegions)
+		}
+	}
+	for _, w := range t.workspaces {
+		add(w.AllowedRegions)
+	}
+	return names
+}
+
 // Service returns the service with the given name, nil if there is none.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
