--- /dev/null
+++ b/gateway/eligibility_test.go
@@ -0,0 +1,174 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"pgregory.net/rapid"
+
+	"github.com/quetzalglade/quetzalglade/kvstore"
+	"github.com/quetzalglade/quetzalglade/registry"
+	"github.com/quetzalglade/quetzalglade/routing"
+)
+
+const (
+	testTablePrefix      = "table"
+	testEvacuationPrefix = "evacuate/"
+)
+
+var testRegions = map[string]string{"a": "north", "b": "north", "c": "south", "d": "east"}
+
+// newEligibilityGateway returns a gateway that does not serve, with two engines in each data
+// centre and two in one that the settings do not name.
+func newEligibilityGateway(t *testing.T) *Gateway {
+	t.Helper()
+	listen := func() net.Listener {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = l.Close() })
+		return l
+	}
+	g, err := New(Options{
+		VM: "edge-1", Datacentre: "a", Regions: testRegions, TableKey: testTablePrefix, EvacuationPrefix: testEvacuationPrefix, TargetPrefix: "targets/",
+		ClientListener: listen(), ReadinessListener: listen(), PeerListener: listen(), Logger: log.NewNopLogger(),
+		DecodeTarget: func(key string, value []byte) (registry.Record, error) {
+			return registry.Record{ID: key, Addr: "127.0.0.1:1", Service: "engines", Datacentre: string(value), Slots: 8, StartMillis: 1}, nil
+		},
+		DecodeTable: func(data []byte) (*routing.Table, error) {
+			var limits struct {
+				Version          int64
+				Route, Workspace []string
+			}
+			if err := json.Unmarshal(data, &limits); err != nil {
+				return nil, err
+			}
+			route := routing.Route{Name: "stream", Host: "h", Prefix: "/", Kind: routing.Stream, AllowedRegions: routing.LimitedTo(limits.Route)}
+			workspace := routing.Workspace{Name: "w", APIKeys: []string{"k"}, AllowedRegions: routing.LimitedTo(limits.Workspace)}
+			return routing.NewTable(limits.Version, []routing.Route{route}, nil, []routing.Workspace{workspace}, routing.Limits{}), nil
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = g.targets.Serve(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	var kvs []kvstore.KV
+	for _, datacentre := range append(slices.Sorted(maps.Keys(testRegions)), "unnamed") {
+		for i := range 2 {
+			kvs = append(kvs, kvstore.KV{Key: fmt.Sprintf("targets/%s-%d", datacentre, i), Value: []byte(datacentre), ModRevision: 1})
+		}
+	}
+	g.targets.Reset(kvs, 1)
+	for deadline := time.Now().Add(hangLimit); len(g.targets.Snapshot().All()) < len(kvs); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the targets were not registered in time")
+		}
+	}
+	return g
+}
+
+// Guards against a choice of a target, for a new request, a copy, a backup, a migration, a
+// continuation or the return to a source, outside the allowed regions or in an evacuated
+// data centre, after any sequence of configurations and evacuations.
+func TestNoChoiceLeavesTheConstraints(t *testing.T) {
+	g := newEligibilityGateway(t)
+	version, revision := int64(0), int64(1)
+	regionNames := rapid.SliceOfN(rapid.SampledFrom([]string{"north", "south", "east", "nowhere"}), 0, 3)
+	datacentres := rapid.SampledFrom([]string{"a", "b", "c", "d", "unnamed"})
+	rapid.Check(t, func(t *rapid.T) {
+		// The model: what the configuration at the arrival and the one in force allow.
+		var limits [][]string
+		configure := func() {
+			version++
+			route, workspace := regionNames.Draw(t, "route"), regionNames.Draw(t, "workspace")
+			data, err := json.Marshal(map[string]any{"Version": version, "Route": route, "Workspace": workspace})
+			if err != nil {
+				t.Fatal(err)
+			}
+			g.feedHub.Apply(kvstore.WatchBatch{Revision: version, Events: []kvstore.Event{{KV: kvstore.KV{Key: testTablePrefix, Value: data, ModRevision: version}}}})
+			limits = [][]string{route, workspace}
+		}
+		configure()
+		atArrival := limits
+		table := g.table.Load()
+		req := &request{
+			route: table.Match("h", "/x"), service: &routing.Service{Name: "engines", Engine: &routing.Engine{Slots: 8, KVCapacityTokens: 1 << 20, CanMigrate: true, CanBackUp: true}},
+			workspace: "w", configVersion: table.Version, path: "/x", regions: table.RegionsFor("h", "/x", "w"), triedTargets: map[string]bool{},
+		}
+		req.upstream.Host = "h"
+		req.ID, req.PromptTokens, req.MaxOutput = "r", 100, 400
+		evacuatedNow := map[string]bool{}
+		g.evacuations.Reset(nil, revision)
+		allowed := func(target *registry.Target) bool {
+			region := testRegions[target.Datacentre]
+			for _, limit := range append(slices.Clone(atArrival), limits...) {
+				if len(limit) > 0 && !slices.Contains(limit, region) {
+					return false
+				}
+			}
+			return !evacuatedNow[target.Datacentre]
+		}
+		check := func(choice string, target *registry.Target) {
+			if target != nil && !allowed(target) {
+				t.Fatalf("%s: target in %q, limits %v and %v, evacuated %v", choice, target.Datacentre, atArrival, limits, evacuatedNow)
+			}
+		}
+		all := slices.Collect(maps.Values(g.targets.Snapshot().All()))
+		for range rapid.IntRange(1, 6).Draw(t, "steps") {
+			revision++
+			datacentre := datacentres.Draw(t, "datacentre")
+			kv := kvstore.KV{Key: testEvacuationPrefix + datacentre, ModRevision: revision}
+			switch rapid.SampledFrom([]string{"configure", "evacuate", "end", "forget"}).Draw(t, "step") {
+			case "configure":
+				configure()
+			case "evacuate":
+				g.evacuations.Apply(kvstore.WatchBatch{Revision: revision, Events: []kvstore.Event{{KV: kv}}})
+				evacuatedNow[datacentre] = true
+			case "end":
+				g.evacuations.Apply(kvstore.WatchBatch{Revision: revision, Events: []kvstore.Event{{KV: kv, Deleted: true}}})
+				delete(evacuatedNow, datacentre)
+			case "forget":
+				g.evacuations.Reset([]kvstore.KV{kv}, revision)
+				evacuatedNow = map[string]bool{datacentre: true}
+			}
+			check("placement", g.chooseTarget(req, nil))
+			for i, primary := range all {
+				check("backup", g.chooseBackupTarget(req, primary))
+				check("migration", g.chooseMigrationTarget(req, primary))
+				other := all[(i+2)%len(all)]
+				s := &streamRequest{g: g, req: req, kept: &keptCache{source: primary}}
+				seg := &segment{target: primary, backup: other, firstEventAt: time.Now(), migration: &segmentMigration{stream: s}}
+				seg.migration.copy.Store(&kvCopy{target: other, completedAt: time.Now()})
+				for _, next := range s.failoverSegments(seg) {
+					check("continuation", next.target)
+				}
+				if s.canReturnToSource() {
+					check("return to the source", primary)
+				}
+				if e := g.eligibility(req); e.allows(primary) != allowed(primary) {
+					t.Fatalf("last check: got %v for %q", e.allows(primary), primary.Datacentre)
+				}
+			}
+			if eligible := slices.ContainsFunc(all, allowed); eligible != (g.ineligibleError(req) == nil) {
+				t.Fatalf("refusal: %v with eligible targets %v", g.ineligibleError(req), eligible)
+			}
+		}
+	})
+}
