gateway: eligibility covers reliable backups, spares, source stops and weighted services

A backup in an evacuated data centre counted as reliable, so that no copy was made and the stream was cut (measured: no segment to continue with); the check before the send came after a trial was used up; two workspaces of one name shared the wider limit; a region without targets could use up the trial of a quarantined part.

Change: each of these asks the same rule. Services of a weighted route count only with an eligible target. Without limits and evacuations the rule costs nothing per target. Each fault has a test.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -271,13 +271,17 @@
 	}
 	at.conn = conn
 	at.stopCloseOnDone = conn.CloseOnDone(ctx)
-	// The target's state may have changed while the connection was opened.
+	// The state of the targets may have changed while the connection was opened.
+	eligible := g.eligibility(req)
+	if !eligible.allows(t) {
+		return at, errTargetNotEligible
+	}
+	if a.backup != nil && !eligible.allows(a.backup) {
+		a.BackupAddr = ""
+	}
 	if err := checkStart(t, a.Resume != nil, time.Now()); err != nil {
 		return at, err
 	}
-	if eligible := g.eligibility(req); !eligible.allows(t) {
-		return at, errTargetNotEligible
-	}
 	msg := req.upstream
 	msg.Header = msg.Header.Clone()
 	a.Target = t.ID
--- a/gateway/eligibility.go
+++ b/gateway/eligibility.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"math/rand/v2"
+	"slices"
+
 	"github.com/cockroachdb/errors"
 
 	"github.com/quetzalglade/quetzalglade/registry"
@@ -28,8 +31,11 @@
 	return e
 }
 
+// isRestricted reports whether any target may be excluded.
+func (e *eligibility) isRestricted() bool { return e.regions.IsLimited() || e.evacuations.count() > 0 }
+
 func (e *eligibility) allowsRegionOf(t *registry.Target) bool {
-	return e.regions.Allows(e.regionOf[t.Datacentre])
+	return !e.regions.IsLimited() || e.regions.Allows(e.regionOf[t.Datacentre])
 }
 
 // allows reports whether a target may receive the request.
@@ -43,6 +49,9 @@
 // is eligible, nil if one is or if there are no targets.
 func (g *Gateway) ineligibleError(req *request) *result.Error {
 	e := g.eligibility(req)
+	if !e.isRestricted() {
+		return nil
+	}
 	ready := g.targets.Snapshot().Ready(req.service.Name)
 	inRegion := 0
 	for _, t := range ready {
@@ -62,6 +71,19 @@
 	return nil
 }
 
+// pickService chooses a service of the request's route by the weights of its backends. Where
+// targets are excluded, only services with an eligible target count.
+func (g *Gateway) pickService(req *request) string {
+	e := g.eligibility(req)
+	if !e.isRestricted() {
+		return req.route.PickService(rand.Float64())
+	}
+	snapshot := g.targets.Snapshot()
+	return req.route.PickServiceFrom(rand.Float64(), func(service string) bool {
+		return slices.ContainsFunc(snapshot.Ready(service), e.allows)
+	})
+}
+
 // logUnknownRegions logs and counts the regions in a configuration that no data centre has.
 // No target is in such a region, so a constraint that names it allows nothing more.
 func (g *Gateway) logUnknownRegions(table *routing.Table) {
--- a/gateway/eligibility_test.go
+++ b/gateway/eligibility_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"pgregory.net/rapid"
 
@@ -84,6 +85,108 @@
 	return g
 }
 
+// newEligibilityRequest returns a stream that the configuration in force admits.
+func newEligibilityRequest(g *Gateway) *request {
+	table := g.table.Load()
+	req := &request{
+		route: table.Match("h", "/x"), service: &routing.Service{Name: "engines", Engine: &routing.Engine{Slots: 8, KVCapacityTokens: 1 << 20, CanMigrate: true, CanBackUp: true}},
+		workspace: "w", configVersion: table.Version, path: "/x", regions: table.RegionsFor("h", "/x", "w"), triedTargets: map[string]bool{},
+	}
+	req.upstream.Host = "h"
+	req.ID, req.PromptTokens, req.MaxOutput = "r", 100, 400
+	return req
+}
+
+// evacuate applies the evacuation of a data centre.
+func evacuate(g *Gateway, datacentre string, revision int64) {
+	kv := kvstore.KV{Key: testEvacuationPrefix + datacentre, ModRevision: revision}
+	g.feedHub.Apply(kvstore.WatchBatch{Revision: revision, Events: []kvstore.Event{{KV: kv}}})
+}
+
+// targetIn returns a target in a data centre.
+func targetIn(g *Gateway, datacentre string) *registry.Target {
+	return g.targets.Snapshot().Target("targets/" + datacentre + "-0")
+}
+
+// Guards against a stream that is cut because it relies on a backup in an evacuated data
+// centre when its own target leaves: it needs a copy elsewhere.
+func TestBackupInEvacuatedDatacentreIsNotReliable(t *testing.T) {
+	g := newEligibilityGateway(t)
+	g.table.Store(routing.NewTable(1, []routing.Route{{Name: "stream", Host: "h", Prefix: "/", Kind: routing.Stream}}, nil, nil, routing.Limits{}))
+	s := &streamRequest{g: g, req: newEligibilityRequest(g)}
+	seg := &segment{target: targetIn(g, "a"), backup: targetIn(g, "b"), startedAt: time.Now().Add(-2 * minBackupAge), firstEventAt: time.Now()}
+	seg.migration = &segmentMigration{stream: s, segment: seg}
+	if !seg.migration.hasReliableBackup() || len(s.failoverSegments(seg)) != 1 {
+		t.Fatal("the backup is not used before the evacuation")
+	}
+	evacuate(g, "b", 2)
+	if seg.migration.hasReliableBackup() || len(s.failoverSegments(seg)) != 0 {
+		t.Fatal("the backup is used although its data centre is evacuated")
+	}
+}
+
+// Guards against a request that is sent to a target which has become ineligible after its
+// choice, while the connection was opened, and against a trial after a hold that is used up
+// by a request which is not sent.
+func TestLastCheckBeforeTheSend(t *testing.T) {
+	g := newEligibilityGateway(t)
+	g.table.Store(routing.NewTable(1, []routing.Route{{Name: "stream", Host: "h", Prefix: "/", Kind: routing.Stream}}, nil, nil, routing.Limits{}))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	target := *targetIn(g, "b")
+	target.Addr = listener.Addr().String()
+	target.Load.Shed(time.Now(), time.Nanosecond)
+	evacuate(g, "b", 2)
+	at, err := g.startAttempt(context.Background(), newEligibilityRequest(g), &target, AttemptMeta{})
+	g.release(at, false)
+	if at.sent || !errors.Is(err, errTargetNotEligible) {
+		t.Fatalf("sent %v, error %v", at.sent, err)
+	}
+	for deadline := time.Now().Add(hangLimit); !target.Load.TryStart(time.Now()); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the trial after the hold was used up")
+		}
+	}
+}
+
+// Guards against a route whose weighted services are all refused although one of them has an
+// eligible target.
+func TestServiceWithoutEligibleTargetIsNotPicked(t *testing.T) {
+	g := newEligibilityGateway(t)
+	route := routing.Route{Name: "r", Host: "h", Prefix: "/", Backends: []routing.Backend{{Service: "elsewhere", Weight: 99}, {Service: "engines", Weight: 1}}}
+	g.table.Store(routing.NewTable(1, []routing.Route{route}, nil, nil, routing.Limits{}))
+	req := newEligibilityRequest(g)
+	evacuate(g, "d", 2)
+	for range 20 {
+		if service := g.pickService(req); service != "engines" {
+			t.Fatalf("picked %q, which has no eligible target", service)
+		}
+	}
+}
+
+// Guards against one workspace entry that widens the limit of another one with its name.
+func TestWorkspacesOfOneNameKeepTheirLimits(t *testing.T) {
+	limited := routing.Workspace{Name: "w", APIKeys: []string{"k1"}, AllowedRegions: routing.LimitedTo([]string{"south"})}
+	open := routing.Workspace{Name: "w", APIKeys: []string{"k2"}}
+	table := routing.NewTable(1, []routing.Route{{Name: "r", Host: "h", Prefix: "/"}}, nil, []routing.Workspace{limited, open}, routing.Limits{})
+	for key, allowed := range map[string]bool{"k1": false, "k2": true} {
+		req := &request{route: table.Match("h", "/x")}
+		req.Key = key
+		if failure := authenticate(table, req); failure != nil {
+			t.Fatal(failure)
+		}
+		if req.regions.Allows("north") != allowed {
+			t.Fatalf("key %s: north allowed %v, want %v", key, !allowed, allowed)
+		}
+	}
+	if table.RegionsFor("h", "/x", "w").Allows("north") {
+		t.Fatal("the limit of a request in progress was dropped")
+	}
+}
+
 // Guards against a choice of a target, for a new request, a copy, a backup, a migration, a
 // continuation or the return to a source, outside the allowed regions or in an evacuated
 // data centre, after any sequence of configurations and evacuations.
@@ -107,13 +210,7 @@
 		}
 		configure()
 		atArrival := limits
-		table := g.table.Load()
-		req := &request{
-			route: table.Match("h", "/x"), service: &routing.Service{Name: "engines", Engine: &routing.Engine{Slots: 8, KVCapacityTokens: 1 << 20, CanMigrate: true, CanBackUp: true}},
-			workspace: "w", configVersion: table.Version, path: "/x", regions: table.RegionsFor("h", "/x", "w"), triedTargets: map[string]bool{},
-		}
-		req.upstream.Host = "h"
-		req.ID, req.PromptTokens, req.MaxOutput = "r", 100, 400
+		req := newEligibilityRequest(g)
 		evacuatedNow := map[string]bool{}
 		g.evacuations.Reset(nil, revision)
 		allowed := func(target *registry.Target) bool {
@@ -148,7 +245,11 @@
 				g.evacuations.Reset([]kvstore.KV{kv}, revision)
 				evacuatedNow = map[string]bool{datacentre: true}
 			}
-			check("placement", g.chooseTarget(req, nil))
+			chosen := g.chooseTarget(req, nil)
+			check("placement", chosen)
+			if chosen == nil && slices.ContainsFunc(all, allowed) {
+				t.Fatal("placement: no target chosen although one is eligible")
+			}
 			for i, primary := range all {
 				check("backup", g.chooseBackupTarget(req, primary))
 				check("migration", g.chooseMigrationTarget(req, primary))
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -79,6 +79,11 @@
 // would not be used by mistake once the data centre is known.
 func (e *evacuations) put(next evacuated, kv *kvstore.KV) {
 	datacentre := strings.TrimPrefix(kv.Key, e.prefix)
+	if datacentre == "" {
+		e.unknown.Add(1)
+		telemetry.Warn(e.logger, "evacuation without a data centre ignored", "revision", kv.ModRevision)
+		return
+	}
 	if _, known := e.regions[datacentre]; !known && !e.includes(datacentre) {
 		e.unknown.Add(1)
 		telemetry.Warn(e.logger, "evacuation of an unknown data centre", "datacentre", datacentre, "revision", kv.ModRevision)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
@@ -98,7 +97,6 @@
 	if failure := authenticate(table, req); failure != nil {
 		return req, failure
 	}
-	req.regions = table.RegionsFor(r.Host, path, req.workspace)
 	if metaErr != nil {
 		return req, result.New(result.InvalidRequest, result.RanNo, "%v", metaErr)
 	}
@@ -106,7 +104,7 @@
 	if failure := g.readBody(w, r, req, table.Limits.MaxBodyBytes); failure != nil {
 		return req, failure
 	}
-	serviceName := req.route.PickService(rand.Float64())
+	serviceName := g.pickService(req)
 	if req.service = table.Service(serviceName); req.service == nil {
 		req.service = &routing.Service{Name: serviceName}
 	}
@@ -116,6 +114,10 @@
 	if failure := g.quarantineError(req); failure != nil {
 		return req, failure
 	}
+	// Before the trial of a quarantined part is claimed, which must run.
+	if failure := g.ineligibleError(req); failure != nil {
+		return req, failure
+	}
 	return req, g.quarantinedPartError(r.Context(), req)
 }
 
@@ -135,6 +137,10 @@
 		}
 		req.workspace = workspace.Name
 	}
+	req.regions = req.route.AllowedRegions
+	if workspace != nil {
+		req.regions = req.regions.Intersect(workspace.AllowedRegions)
+	}
 	req.priority = table.Priority(req.route, workspace)
 	return nil
 }
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/quetzalglade/quetzalglade/registry"
 	"github.com/quetzalglade/quetzalglade/result"
 )
 
@@ -45,6 +46,7 @@
 	// BackupAddr is the address of the target that receives the backup of the
 	// request's KV cache, "" for none.
 	BackupAddr string
+	backup     *registry.Target
 	// Resume continues a streaming request from a copy of its KV cache, nil for
 	// a new request.
 	Resume *Resume
--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -112,7 +112,7 @@
 		m.prepareConn(ctx, m.segment.backup)
 		if m.waitForSwitch(ctx, m.switchDelay(leavingSince)) {
 			m.switchRequested.Store(true)
-			return
+			m.awaitBackupLoss(ctx)
 		}
 		if ctx.Err() != nil {
 			return
@@ -185,10 +185,21 @@
 }
 
 // hasReliableBackup reports whether the segment has a backup that is old enough
-// to be complete and whose target is not leaving.
+// to be complete and whose target is eligible and not leaving.
 func (m *segmentMigration) hasReliableBackup() bool {
 	backup := m.segment.backup
-	return backup != nil && !backup.Load.IsLeaving() && time.Since(m.segment.startedAt) > minBackupAge
+	if backup == nil || backup.Load.IsLeaving() || time.Since(m.segment.startedAt) <= minBackupAge {
+		return false
+	}
+	eligible := m.stream.g.eligibility(m.stream.req)
+	return eligible.allows(backup)
+}
+
+// awaitBackupLoss waits until the stream has switched, which ends ctx, or its backup can no
+// longer be used.
+func (m *segmentMigration) awaitBackupLoss(ctx context.Context) {
+	for sleep(ctx, migrationRetryDelay) && m.hasReliableBackup() {
+	}
 }
 
 // copyKVCache copies the KV cache of the request to a target with enough
--- a/gateway/migrate_test.go
+++ b/gateway/migrate_test.go
@@ -47,7 +47,8 @@
 // switch.
 func TestMigrationDetectsLeavingBackupTarget(t *testing.T) {
 	keeper, backupTarget := newKeeperWithTarget(t)
-	migration := &segmentMigration{segment: &segment{backup: backupTarget, startedAt: time.Now().Add(-2 * minBackupAge)}}
+	stream := &streamRequest{g: newEligibilityGateway(t), req: &request{}}
+	migration := &segmentMigration{stream: stream, segment: &segment{backup: backupTarget, startedAt: time.Now().Add(-2 * minBackupAge)}}
 	convey.Convey("A backup whose target stays is reliable", t, func() {
 		convey.So(migration.waitForSwitch(context.Background(), 0), convey.ShouldBeTrue)
 	})
--- a/gateway/sourcestop.go
+++ b/gateway/sourcestop.go
@@ -137,6 +137,9 @@
 		if !source.Load.HeldUntil(sentAt).IsZero() {
 			return sourceStop{err: errSourceHeld}
 		}
+		if eligible := s.g.eligibility(s.req); !eligible.allows(destination) {
+			return sourceStop{err: errTargetNotEligible}
+		}
 		result, err := s.g.opts.Migrator.Migrate(ctx, source.Addr, MigrationRequest{RequestID: s.req.ID, DestinationAddr: destination.Addr, Stop: true})
 		s.g.applyNotice(source, result.Notice, sentAt, s.req.service)
 		if !errors.Is(err, ErrMigrationInProgress) || !sleep(ctx, sourceStopRetryDelay) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -160,6 +161,8 @@
 // failOver returns the next segment that can continue the stream, nil if there
 // is none or the retry budget is exhausted.
 func (s *streamRequest) failOver(seg *segment) *segment {
+	eligible := s.g.eligibility(s.req)
+	s.failovers = slices.DeleteFunc(s.failovers, func(f *segment) bool { return !eligible.allows(f.target) })
 	if len(s.failovers) == 0 && !s.canReturnToSource() {
 		return nil
 	}
@@ -258,7 +261,7 @@
 func (seg *segment) attempt() AttemptMeta {
 	a := AttemptMeta{Resume: seg.resume}
 	if seg.backup != nil {
-		a.BackupAddr = seg.backup.Addr
+		a.BackupAddr, a.backup = seg.backup.Addr, seg.backup
 	}
 	return a
 }
--- a/routing/table.go
+++ b/routing/table.go
@@ -63,18 +63,35 @@
 
 // PickService returns the name of a service, chosen by the weights of the backends. u
 // is uniform in [0, 1).
-func (r *Route) PickService(u float64) string {
+func (r *Route) PickService(u float64) string { return pickBackend(r.Backends, u) }
+
+// PickServiceFrom is like PickService for the backends whose service is usable. If none is,
+// it chooses from all of them.
+func (r *Route) PickServiceFrom(u float64, usable func(service string) bool) string {
+	backends := make([]Backend, 0, len(r.Backends))
+	for _, b := range r.Backends {
+		if b.Weight > 0 && usable(b.Service) {
+			backends = append(backends, b)
+		}
+	}
+	if len(backends) == 0 {
+		backends = r.Backends
+	}
+	return pickBackend(backends, u)
+}
+
+func pickBackend(backends []Backend, u float64) string {
 	var total float64
-	for i := range r.Backends {
-		total += r.Backends[i].Weight
+	for i := range backends {
+		total += backends[i].Weight
 	}
 	u *= total
-	for i := range r.Backends {
-		if u -= r.Backends[i].Weight; u < 0 {
-			return r.Backends[i].Service
+	for i := range backends {
+		if u -= backends[i].Weight; u < 0 {
+			return backends[i].Service
 		}
 	}
-	return r.Backends[len(r.Backends)-1].Service
+	return backends[len(backends)-1].Service
 }
 
 // Engine describes the inference engines of a service. Slots is the number of
@@ -147,8 +164,9 @@
 	routesByHost    map[string][]*Route
 	services        map[string]*Service
 	workspacesByKey map[string]*Workspace
-	workspaces      map[string]*Workspace
-	mostUrgent      map[string]*Route
+	// workspaceRegions holds the regions by the name of the workspace.
+	workspaceRegions map[string]Regions
+	mostUrgent       map[string]*Route
 }
 
 // NewTable returns a table with the given contents. It keeps references to the
@@ -157,7 +175,7 @@
 	t := &Table{
 		Version: version, Limits: limits, KeysRequired: len(workspaces) > 0,
 		routesByHost: map[string][]*Route{}, services: map[string]*Service{}, workspacesByKey: map[string]*Workspace{},
-		mostUrgent: map[string]*Route{}, workspaces: map[string]*Workspace{},
+		mostUrgent: map[string]*Route{}, workspaceRegions: map[string]Regions{},
 	}
 	for i := range routes {
 		r := &routes[i]
@@ -172,7 +190,8 @@
 		t.services[services[i].Name] = &services[i]
 	}
 	for i := range workspaces {
-		t.workspaces[workspaces[i].Name] = &workspaces[i]
+		// Entries of one name may have different keys and limits.
+		t.workspaceRegions[workspaces[i].Name] = t.workspaceRegions[workspaces[i].Name].Intersect(workspaces[i].AllowedRegions)
 		for _, key := range workspaces[i].APIKeys {
 			t.workspacesByKey[key] = &workspaces[i]
 		}
@@ -216,16 +235,17 @@
 func (t *Table) Workspace(key string) *Workspace { return t.workspacesByKey[key] }
 
 // RegionsFor returns the regions in which a request with the given host, path and
-// workspace may be served. A route or workspace that the table does not hold sets no limit.
+// workspace name may be served. A route or workspace that the table does not hold sets no
+// limit. If several workspaces have the name, all of their limits apply.
 func (t *Table) RegionsFor(host, path, workspace string) Regions {
 	var regions Regions
 	if r := t.Match(host, path); r != nil {
 		regions = r.AllowedRegions
 	}
-	if w := t.workspaces[workspace]; w != nil {
-		regions = regions.Intersect(w.AllowedRegions)
+	if workspace == "" {
+		return regions
 	}
-	return regions
+	return regions.Intersect(t.workspaceRegions[workspace])
 }
 
 // LimitedRegions returns the names of all regions to which routes and workspaces are limited.
@@ -241,7 +261,7 @@
 			add(r.AllowedRegions)
 		}
 	}
-	for _, w := range t.workspaces {
+	for _, w := range t.workspacesByKey {
 		add(w.AllowedRegions)
 	}
 	return names
