--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
@@ -17,10 +16,14 @@
 // request is a client's request while the gateway serves it.
 type request struct {
 	RequestMeta
-	route         *routing.Route
-	service       *routing.Service
-	workspace     string
-	priority      int
+	route     *routing.Route
+	service   *routing.Service
+	workspace string
+	priority  int
+	// path is the path by which the route was selected, regions the regions in which the
+	// request may be served by the configuration at its arrival.
+	path          string
+	regions       routing.Regions
 	configVersion int64
 	// upstream is the request as it is sent to targets, without its body.
 	upstream httpwire.Request
@@ -86,6 +89,7 @@
 	if !ok {
 		return req, result.New(result.InvalidRequest, result.RanNo, "the request target is not a path")
 	}
+	req.path = path
 	req.route = table.Match(r.Host, path)
 	if req.route == nil {
 		return req, result.New(result.UnknownService, result.RanNo, "no route matches the host and path")
@@ -100,7 +104,7 @@
 	if failure := g.readBody(w, r, req, table.Limits.MaxBodyBytes); failure != nil {
 		return req, failure
 	}
-	serviceName := req.route.PickService(rand.Float64())
+	serviceName := g.pickService(req)
 	if req.service = table.Service(serviceName); req.service == nil {
 		req.service = &routing.Service{Name: serviceName}
 	}
@@ -110,6 +114,10 @@
 	if failure := g.quarantineError(req); failure != nil {
 		return req, failure
 	}
+	// Before the trial of a quarantined part is claimed, which must run.
+	if failure := g.ineligibleError(req); failure != nil {
+		return req, failure
+	}
 	return req, g.quarantinedPartError(r.Context(), req)
 }
 
@@ -129,6 +137,10 @@
 		}
 		req.workspace = workspace.Name
 	}
+	req.regions = req.route.AllowedRegions
+	if workspace != nil {
+		req.regions = req.regions.Intersect(workspace.AllowedRegions)
+	}
 	req.priority = table.Priority(req.route, workspace)
 	return nil
 }
