registry: a later target at an address replaces the earlier one

Cause: after the loss of power of a whole fleet, gateways read entries of targets that were gone and whose addresses belonged to others (54 entries, 46 engines). 254 requests were rejected with 421 within two seconds, and 150 of them refused because the retry budget of a fresh fleet is small.

Ruled out: a lack of reports; the sidecars were up, their reports named another incarnation and were only ignored.

Change: of several targets at one address the one that started last stays; an engine's report with a later start drains the earlier entry.

--- a/gateway/loadcollector.go
+++ b/gateway/loadcollector.go
@@ -137,6 +137,9 @@
 		}
 		report := line.Report
 		if report.StartMillis != 0 && t.StartMillis != 0 && report.StartMillis != t.StartMillis {
+			if report.StartMillis > t.StartMillis {
+				c.g.targets.MarkLeaving(t.ID, t.StartMillis, "its address belongs to an engine that started later")
+			}
 			continue
 		}
 		t.Load.SetReport(loadFromReport(report))
