--- a/gateway/loadcollector.go
+++ b/gateway/loadcollector.go
@@ -125,7 +125,8 @@
 }
 
 // receive applies a line from the sidecar of the engine at addr to the targets
-// with that address. It ignores the report of another incarnation of a target.
+// with that address. It ignores the report of another incarnation of a target, but for the
+// fact that a later one has the address. Only one engine has the host of an address.
 func (c *loadCollector) receive(addr string, line sidecar.Line) {
 	for _, t := range c.g.targets.Snapshot().All() {
 		if t.Addr != addr {
@@ -138,7 +139,7 @@
 		report := line.Report
 		if report.StartMillis != 0 && t.StartMillis != 0 && report.StartMillis != t.StartMillis {
 			if report.StartMillis > t.StartMillis {
-				c.g.targets.MarkLeaving(t.ID, t.StartMillis, "its address belongs to an engine that started later")
+				t.Load.MarkReplaced(time.Now())
 			}
 			continue
 		}
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -26,10 +26,14 @@
 	errTargetHeld    = errors.New("the target sheds load")
 )
 
+// replacedMemory is how long the report of a later engine keeps work away from the earlier
+// target at its address. Sidecars send a line at least every second.
+const replacedMemory = 2 * time.Second
+
 // acceptsWork reports whether a target may be chosen for new work. It uses the state of
 // the target's load, which changes before the next snapshot of the registry.
 func acceptsWork(t *registry.Target, now time.Time) bool {
-	return !t.Load.IsLeaving() && t.Load.HeldUntil(now).IsZero()
+	return !t.Load.IsLeaving() && t.Load.HeldUntil(now).IsZero() && !t.Load.IsReplaced(now, replacedMemory)
 }
 
 // checkStart returns an error if the target must not get a request now. If it returns nil,
--- a/registry/address_test.go
+++ b/registry/address_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/quetzalglade/quetzalglade/kvstore"
@@ -48,8 +49,18 @@
 			if readyCount(k) != len(tt.ready) {
 				t.Fatalf("%d targets are ready, want %v", readyCount(k), tt.ready)
 			}
+			if len(tt.ready) == 1 && len(tt.entries) == 2 {
+				later := fmt.Sprintf("t%d", tt.ready[0])
+				k.Apply(kvstore.WatchBatch{Revision: 2, Events: []kvstore.Event{{KV: kv(later, ""), Deleted: true}}})
+				k.flush()
+				if readyCount(k) != 1 {
+					t.Fatal("the earlier target is not ready although the later one has gone")
+				}
+				k.Apply(kvstore.WatchBatch{Revision: 3, Events: []kvstore.Event{{KV: kv(later, "")}}})
+				k.flush()
+			}
 			for _, i := range tt.ready {
-				if k.Snapshot().Target(fmt.Sprintf("t%d", i)).State != Ready {
+				if !slices.ContainsFunc(k.Snapshot().Ready("s"), func(target *Target) bool { return target.ID == fmt.Sprintf("t%d", i) }) {
 					t.Fatalf("target %d is not ready", i)
 				}
 			}
--- a/registry/keeper.go
+++ b/registry/keeper.go
@@ -246,9 +246,6 @@
 func (k *Keeper) add(kv *kvstore.KV, record Record) {
 	t := &Target{Record: record, Since: k.now(), Load: newLoad(), key: kv.Key}
 	k.targets[record.ID] = t
-	if record.Addr != "" {
-		defer k.drainPredecessors(record.Addr)
-	}
 	telemetry.Info(k.logger, "target added", "target", record.ID, "addr", record.Addr, "service", record.Service,
 		"datacentre", record.Datacentre, "draining", record.State == Draining, "warming_ms", record.WarmUp.Milliseconds(), "revision", kv.ModRevision)
 	if record.State == Draining {
@@ -257,23 +254,6 @@
 	}
 }
 
-// drainPredecessors drains the targets at an address but for the one that started last. The
-// entry of a target that is gone may stay for some time, for example while the store is
-// unavailable, and another target may have its address by then.
-func (k *Keeper) drainPredecessors(addr string) {
-	var latest int64
-	for _, t := range k.targets {
-		if t.Addr == addr {
-			latest = max(latest, t.StartMillis)
-		}
-	}
-	for _, t := range k.targets {
-		if t.Addr == addr && t.StartMillis != 0 && t.StartMillis < latest {
-			k.drain(t, "its address belongs to a later target")
-		}
-	}
-}
-
 // remove removes a target whose entry is no longer in the store. Within
 // recoveryGrace after an outage of the store, the entry of a live target may have
 // expired, so a ready target is only recorded as missing.
@@ -350,11 +330,23 @@
 	}
 }
 
+// isReplaced reports whether a target that started later has the address. The entry of a
+// target that is gone may stay for some time, for example while the store is unavailable.
+func isReplaced(t *Target, latestStart map[string]int64) bool {
+	return t.Addr != "" && t.StartMillis != 0 && t.StartMillis < latestStart[t.Addr]
+}
+
+// publish publishes a snapshot. A target whose address belongs to a later one is left out of
+// the ready targets for as long as the later one is registered.
 func (k *Keeper) publish() {
 	s := &Snapshot{Revision: k.revision, targets: make(map[string]*Target, len(k.targets)), services: map[string][]*Target{}}
+	latestStart := make(map[string]int64, len(k.targets))
+	for _, t := range k.targets {
+		latestStart[t.Addr] = max(latestStart[t.Addr], t.StartMillis)
+	}
 	for id, t := range k.targets {
 		s.targets[id] = t
-		if t.State == Ready {
+		if t.State == Ready && !isReplaced(t, latestStart) {
 			s.services[t.Service] = append(s.services[t.Service], t)
 		}
 	}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -72,6 +72,9 @@
 	// process knows that.
 	departing atomic.Bool
 	announced atomic.Bool
+	// replacedAt is when another incarnation last reported from the address, in Unix
+	// nanoseconds.
+	replacedAt atomic.Int64
 }
 
 // LoadReport is a load report of an engine.
@@ -115,6 +118,16 @@
 
 func newLoad() *Load { return &Load{leaving: make(chan struct{})} }
 
+// MarkReplaced records that an engine that started later has reported from the target's
+// address.
+func (l *Load) MarkReplaced(now time.Time) { l.replacedAt.Store(now.UnixNano()) }
+
+// IsReplaced reports whether MarkReplaced was called within the last maxAge.
+func (l *Load) IsReplaced(now time.Time, maxAge time.Duration) bool {
+	at := l.replacedAt.Load()
+	return at != 0 && now.Sub(time.Unix(0, at)) <= maxAge
+}
+
 // SetReport replaces the load report.
 func (l *Load) SetReport(report *LoadReport) { l.lastReport.Store(report) }
 
