decision: which connections of clients to shed

The connection with the least progress per byte held goes first; a client's connections are considered together, and one that holds at most half of its equal share is passed over while others hold more. Not used yet. Tests of the decision pass.

--- /dev/null
+++ b/decision/shedclients.go
@@ -0,0 +1,72 @@
+package decision
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// ClientConn is what a process holds for one connection of a client.
+type ClientConn struct {
+	// Client identifies the client, for example by its address.
+	Client string
+	// Held is the number of bytes that the process holds for the connection.
+	Held int64
+	// Moved is the number of bytes that the client has sent or read in the last Age.
+	Moved int64
+	Age   time.Duration
+	// Running is set while the process waits for another one on behalf of the connection, so
+	// that the client can make no progress.
+	Running bool
+}
+
+// progress returns the bytes moved per second and per byte held.
+func (c *ClientConn) progress() float64 {
+	return float64(c.Moved) / (max(c.Age.Seconds(), minShedAge) * float64(max(c.Held, 1)))
+}
+
+// minShedAge is the age in seconds below which a connection's progress is not extrapolated.
+const minShedAge = 0.05
+
+// ordinaryShare is the part of its equal share of the memory up to which a client keeps its
+// connections while another client holds more than that.
+const ordinaryShare = 0.5
+
+// ShedClients returns the indexes of the connections to close so that at least bytes bytes and
+// count connections become free. A client's connections are considered together: one that
+// holds at most ordinaryShare of limit divided by the number of clients is passed over as long
+// as others hold more. Of the rest, the connections with the least progress per byte held go
+// first, then those that hold more, then the older ones. Running connections go last.
+func ShedClients(conns []ClientConn, limit, bytes int64, count int) []int {
+	held := map[string]int64{}
+	for i := range conns {
+		held[conns[i].Client] += conns[i].Held
+	}
+	share := int64(ordinaryShare * float64(limit) / float64(max(len(held), 1)))
+	order := make([]int, len(conns))
+	for i := range order {
+		order[i] = i
+	}
+	rank := func(c *ClientConn) int {
+		switch {
+		case c.Running:
+			return 2
+		case held[c.Client] <= share:
+			return 1
+		}
+		return 0
+	}
+	slices.SortStableFunc(order, func(i, j int) int {
+		a, b := &conns[i], &conns[j]
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.progress(), b.progress()), cmp.Compare(b.Held, a.Held), cmp.Compare(b.Age, a.Age))
+	})
+	var victims []int
+	for _, i := range order {
+		if bytes <= 0 && len(victims) >= count {
+			break
+		}
+		victims = append(victims, i)
+		bytes -= conns[i].Held
+	}
+	return victims
+}
--- /dev/null
+++ b/decision/shedclients_test.go
@@ -0,0 +1,38 @@
+package decision
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// Guards against a crowd of few clients whose connections displace those of ordinary ones, and
+// against the choice of connections that make progress.
+func TestShedClients(t *testing.T) {
+	Convey("Given a client with many stalled bodies and ordinary clients", t, func() {
+		conns := []ClientConn{
+			{Client: "ordinary", Held: 64 << 10, Moved: 0, Age: time.Second},
+			{Client: "crowd", Held: 1 << 20, Moved: 1 << 20, Age: time.Second},
+			{Client: "crowd", Held: 1 << 20, Age: time.Second},
+			{Client: "crowd", Held: 2 << 20, Age: time.Second},
+			{Client: "crowd", Held: 4 << 20, Age: time.Second, Running: true},
+		}
+		Convey("The stalled body that holds the most goes first", func() {
+			So(ShedClients(conns, 10<<20, 1, 0), ShouldResemble, []int{3})
+		})
+		Convey("A body that makes progress goes after the stalled ones, ordinary clients after the crowd, running requests last", func() {
+			So(ShedClients(conns, 10<<20, 100<<20, 0), ShouldResemble, []int{3, 2, 1, 0, 4})
+		})
+		Convey("A number of connections is freed", func() {
+			So(ShedClients(conns, 10<<20, 0, 2), ShouldResemble, []int{3, 2})
+		})
+	})
+	Convey("Of connections that are alike the oldest goes first", t, func() {
+		conns := []ClientConn{{Client: "a", Held: 1, Age: time.Second}, {Client: "a", Held: 1, Age: time.Minute}}
+		So(ShedClients(conns, 1, 1, 0), ShouldResemble, []int{1})
+	})
+	Convey("Nothing is shed if nothing is needed", t, func() {
+		So(ShedClients([]ClientConn{{Client: "a", Held: 1}}, 1, 0, 0), ShouldBeEmpty)
+	})
+}
