bodybudget: admit a body of unknown length like a large one

Cause: until its second piece, a chunked body counted as small. 1,200 such bodies took the eighth of the budget that large bodies leave to small ones, so that a body of 5 bytes was refused with 2010 after the crowd had left.

Change: such a body waits with the large ones until its end shows that it is small. The budget also reports each change of what it holds for a body (Options.Hold), for the account of the process.

--- a/internal/bodybudget/body.go
+++ b/internal/bodybudget/body.go
@@ -19,7 +19,11 @@
 	budget   *Budget
 	priority int
 	large    bool
-	pieces   [][]byte
+	// unknown is set while the length is neither declared nor known to be small. Such a body is
+	// admitted like a large one.
+	unknown bool
+	hold    func(bytes int64)
+	pieces  [][]byte
 
 	// The budget's mutex guards what follows.
 	id int64
@@ -53,6 +57,9 @@
 	// Stop, when closed, and Deadline, if set, end the wait for memory.
 	Stop     <-chan struct{}
 	Deadline time.Time
+	// Hold, if set, is called with each change of the memory that counts for the body. It must
+	// not call the budget.
+	Hold func(bytes int64)
 	// Observer, if set, receives a body for which IsLarge holds while it is read.
 	Observer io.Writer
 }
@@ -66,6 +73,7 @@
 	}
 	body := &Body{
 		budget: b, priority: o.Priority, large: o.Declared > pieceBytes,
+		unknown: o.Declared < 0, hold: o.Hold,
 		owned: true, unrepeatable: o.Unrepeatable, keep: o.Keep,
 	}
 	if o.Declared == 0 {
@@ -172,7 +180,8 @@
 	p.pieces[0] = content
 	p.budget.mu.Lock()
 	defer p.budget.mu.Unlock()
-	p.budget.used -= p.reserved - int64(len(content))
+	p.unknown = false
+	p.count(int64(len(content)) - p.reserved)
 	p.reserved, p.held = int64(len(content)), int64(len(content))
 	p.budget.grant()
 }
@@ -221,11 +230,22 @@
 	p.budget.grant()
 }
 
+// count changes the memory that counts for the body. The caller holds the budget's mutex.
+func (p *Body) count(bytes int64) {
+	p.budget.used += bytes
+	if p.hold != nil {
+		p.hold(bytes)
+	}
+}
+
+// waitsAsLarge reports whether the body is admitted like a large one.
+func (p *Body) waitsAsLarge() bool { return p.large || p.unknown }
+
 // endReservation frees what has been reserved but is not held, if its time has passed. The
 // caller holds the budget's mutex.
 func (p *Body) endReservation(now time.Time) {
 	if excess := p.reserved - p.held; excess > 0 && !p.reservedUntil.IsZero() && now.After(p.reservedUntil) {
-		p.budget.used -= excess
+		p.count(-excess)
 		p.reserved = p.held
 	}
 }
@@ -246,7 +266,7 @@
 	if p.owned || p.writers > 0 || p.reserved == 0 {
 		return
 	}
-	p.budget.used -= p.reserved
+	p.count(-p.reserved)
 	p.reserved, p.held = 0, 0
 	if !p.large {
 		return
--- a/internal/bodybudget/budget.go
+++ b/internal/bodybudget/budget.go
@@ -102,12 +102,12 @@
 // and then of arrival, until ctx, the stop or the deadline of the options or maxWait ends.
 func (b *Budget) claim(ctx context.Context, o *Options, body *Body, bytes int64) error {
 	b.mu.Lock()
-	if bytes > b.limit(body.large) {
+	if bytes > b.limit(body.waitsAsLarge()) {
 		b.refused++
 		b.mu.Unlock()
-		return errors.Wrapf(ErrFull, "body of %d bytes, limit %d", bytes, b.limit(body.large))
+		return errors.Wrapf(ErrFull, "body of %d bytes, limit %d", bytes, b.limit(body.waitsAsLarge()))
 	}
-	if (len(b.waiters) == 0 || !body.large) && b.used+bytes <= b.limit(body.large) {
+	if (len(b.waiters) == 0 || !body.waitsAsLarge()) && b.used+bytes <= b.limit(body.waitsAsLarge()) {
 		b.assign(body, bytes)
 		b.mu.Unlock()
 		return nil
@@ -172,7 +172,7 @@
 func (b *Budget) grant() {
 	largeBlocked := false
 	b.waiters = slices.DeleteFunc(b.waiters, func(w *waiter) bool {
-		if w.body.large && largeBlocked || !b.makeRoom(w) {
+		if w.body.waitsAsLarge() && largeBlocked || !b.makeRoom(w) {
 			largeBlocked = true
 			return false
 		}
@@ -187,7 +187,7 @@
 	if body.large && body.reserved == 0 {
 		b.large = append(b.large, body)
 	}
-	b.used += bytes
+	body.count(bytes)
 	body.reserved += bytes
 }
 
@@ -195,7 +195,7 @@
 // after bodies that have been sent were dropped, those that can't be repeated first. The
 // caller holds mu.
 func (b *Budget) makeRoom(w *waiter) bool {
-	fits := func() bool { return b.used+w.bytes <= b.limit(w.body.large) }
+	fits := func() bool { return b.used+w.bytes <= b.limit(w.body.waitsAsLarge()) }
 	if fits() {
 		return true
 	}
