httpwire: read a buffered response in pieces

Cause: the buffer of a response grew by copies and left several times its size to the collector: 1,200 unread responses of 1 MiB took a gateway of 112 MB to 85 to 106 MiB.

Change: pieces of 4 to 64 KiB, of which the large ones are used again, and one copy at the end.

--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -13,7 +13,9 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 
@@ -235,17 +237,64 @@
 	return context.AfterFunc(ctx, c.Close)
 }
 
+// Sizes of the pieces in which a body is read. A buffer that grows by copies would leave
+// several times the size of the body to the garbage collector.
+const (
+	firstPieceBytes = 4 << 10
+	maxPieceBytes   = 64 << 10
+)
+
+// largePieces holds pieces of maxPieceBytes for the next bodies.
+var largePieces = sync.Pool{New: func() any { return new([maxPieceBytes]byte) }}
+
+// newPiece returns an empty piece of the given capacity.
+func newPiece(size int) []byte {
+	if size < maxPieceBytes {
+		return make([]byte, 0, size)
+	}
+	return largePieces.Get().(*[maxPieceBytes]byte)[:0]
+}
+
+// freePieces puts the large ones of the pieces back.
+func freePieces(pieces [][]byte) {
+	for _, piece := range pieces {
+		if cap(piece) == maxPieceBytes {
+			largePieces.Put((*[maxPieceBytes]byte)(piece[:maxPieceBytes]))
+		}
+	}
+}
+
 // ReadBody reads a whole body of at most limit bytes. It returns ErrTooLarge for
 // a larger one.
 func ReadBody(body io.Reader, limit int64) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(body, limit+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "read body")
+	limited := io.LimitReader(body, limit+1)
+	var full [][]byte
+	piece := newPiece(firstPieceBytes)
+	defer func() { freePieces(full) }()
+	total := 0
+	for {
+		if len(piece) == cap(piece) {
+			full = append(full, piece)
+			piece = newPiece(min(2*cap(piece), maxPieceBytes))
+		}
+		n, err := limited.Read(piece[len(piece):cap(piece)])
+		piece = piece[:len(piece)+n]
+		total += n
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return nil, errors.Wrap(err, "read body")
+		}
 	}
-	if int64(len(data)) > limit {
+	if int64(total) > limit {
 		return nil, ErrTooLarge
 	}
-	return data, nil
+	if len(full) == 0 {
+		return piece, nil
+	}
+	full = append(full, piece)
+	return slices.Concat(full...), nil
 }
 
 // DiscardBody reads a whole body of at most limit bytes without keeping it. It returns
