connguard: one account of what a process holds for its clients

Cause: nothing bounded connections, heads, unread responses and, at entry and agent, bodies. Heads at the gateway's readiness and peer listeners could have 1 MiB each.

Change: gateway, sidecar, entry and agent count connections, bodies and responses in one account, limited to 3/8 of the memory, and 3/4 of the descriptors for clients and what is opened for them. Beyond that, decision.ShedClients chooses connections to close; their requests end. Bodies must arrive with 16 bytes per second over 15 s. Heads at the gateway's internal listeners are limited to 8 KiB. Entry and agent learn their memory by QUETZALGLADE_MEMORY_MB; without it only their descriptors are limited. Closed connections are logged once a second with their cause, and counted.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -23,6 +23,7 @@
 	"github.com/quetzalglade/quetzalglade/configsync"
 	"github.com/quetzalglade/quetzalglade/decision"
 	"github.com/quetzalglade/quetzalglade/internal/boottime"
+	"github.com/quetzalglade/quetzalglade/internal/connguard"
 	"github.com/quetzalglade/quetzalglade/internal/httpclient"
 	"github.com/quetzalglade/quetzalglade/internal/httpserve"
 	"github.com/quetzalglade/quetzalglade/kvstore"
@@ -44,6 +45,8 @@
 	Role string
 	// Listener accepts connections of other processes.
 	Listener net.Listener
+	// Guard is the account of what the process holds for others, nil for none.
+	Guard *connguard.Guard
 	// EngineURL is the address of a model engine, PlainURL the address of a
 	// plain service. Exactly one of them is set.
 	EngineURL string
@@ -103,10 +106,13 @@
 // Sizes, defaults of Options and periods of an agent.
 const (
 	maxRecordedDecisions = 4096
-	incarnationBytes     = 6
-	defaultDrainGrace    = 3 * time.Second
-	defaultDrainLimit    = 30 * time.Minute
-	drainPollInterval    = 20 * time.Millisecond
+	// messageFactor is the memory that a message takes for each of its bytes: the decoder's
+	// buffer grows by doubling. Measured: 50 MiB for a message of 16 MiB.
+	messageFactor     = 4
+	incarnationBytes  = 6
+	defaultDrainGrace = 3 * time.Second
+	defaultDrainLimit = 30 * time.Minute
+	drainPollInterval = 20 * time.Millisecond
 )
 
 // New returns an agent; Serve runs it.
@@ -140,6 +146,9 @@
 	a.config = newFollower(&opts)
 	a.control = newControl(a)
 	a.registerGauges()
+	if opts.Guard != nil {
+		opts.Guard.RegisterGauges(metrics.Gauge)
+	}
 	return a, nil
 }
 
@@ -209,7 +218,9 @@
 	if a.opts.Store != nil {
 		supervisor.Add(a.quarantine)
 	}
-	supervisor.Add(httpserve.New("agent peers", a.opts.Listener, a.handler(), a.opts.DrainLimit))
+	server := httpserve.New("agent peers", a.opts.Listener, a.handler(), a.opts.DrainLimit)
+	server.SetGuard(a.opts.Guard, messageFactor)
+	supervisor.Add(server)
 	supervisorCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	done := supervisor.ServeBackground(supervisorCtx)
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/quetzalglade/quetzalglade/decision"
+	"github.com/quetzalglade/quetzalglade/internal/connguard"
 	"github.com/quetzalglade/quetzalglade/internal/httpclient"
 	"github.com/quetzalglade/quetzalglade/internal/httpserve"
 	"github.com/quetzalglade/quetzalglade/kvstore"
@@ -91,6 +92,7 @@
 		Listener: listener, EngineURL: s.Target.Engine, PlainURL: s.Target.Plain, Keys: peer.Keys(s.Process.Keys),
 		OperatorKeys: peer.Keys(s.Process.OperatorKeys), TLS: s.TLS.Enabled(), ClientTLS: clientTLS,
 		Store:  kvstore.NewEtcdStore(s.Platform.Store, httpclient.New(httpclient.Options{TLS: clientTLS}), s.Platform.StoreTimeout),
+		Guard:  connguard.New(connguard.OptionsFor(settings.MemoryMB(), settings.BodyRate(), logger)),
 		Logger: logger, Limits: s.limits(),
 		DrainGrace: s.Process.DrainGrace, DrainLimit: s.Process.DrainLimit,
 	}, nil
--- a/decision/shedclients.go
+++ b/decision/shedclients.go
@@ -36,7 +36,8 @@
 // count connections become free. A client's connections are considered together: one that
 // holds at most ordinaryShare of limit divided by the number of clients is passed over as long
 // as others hold more. Of the rest, the connections with the least progress per byte held go
-// first, then those that hold more, then the older ones. Running connections go last.
+// first, then those that hold more, then the older ones. A client's running connections go
+// after its others.
 func ShedClients(conns []ClientConn, limit, bytes int64, count int) []int {
 	held := map[string]int64{}
 	for i := range conns {
@@ -48,13 +49,14 @@
 		order[i] = i
 	}
 	rank := func(c *ClientConn) int {
-		switch {
-		case c.Running:
-			return 2
-		case held[c.Client] <= share:
-			return 1
+		r := 0
+		if held[c.Client] <= share {
+			r = 2
 		}
-		return 0
+		if c.Running {
+			r++
+		}
+		return r
 	}
 	slices.SortStableFunc(order, func(i, j int) int {
 		a, b := &conns[i], &conns[j]
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/quetzalglade/quetzalglade/claim"
 	"github.com/quetzalglade/quetzalglade/configsync"
 	"github.com/quetzalglade/quetzalglade/decision"
+	"github.com/quetzalglade/quetzalglade/internal/connguard"
 	"github.com/quetzalglade/quetzalglade/internal/httpclient"
 	"github.com/quetzalglade/quetzalglade/internal/httpserve"
 	"github.com/quetzalglade/quetzalglade/kvstore"
@@ -40,6 +41,8 @@
 	Region     string
 	// Listener accepts connections of callers and other processes.
 	Listener net.Listener
+	// Guard is the account of what the process holds for others, nil for none.
+	Guard *connguard.Guard
 	// Keys are the shared keys of the fleet; the first is sent, all are accepted.
 	Keys peer.Keys
 	// OperatorKeys give operators' tools access to decisions, state and metrics.
@@ -115,7 +118,10 @@
 
 // Sizes of an entry and defaults of Options.
 const (
-	maxRecordedDecisions    = 8192
+	maxRecordedDecisions = 8192
+	// bodyFactor is the memory that a request takes for each byte of its body: the body, its
+	// growth while it is read, the message to an agent in base64 and its buffer.
+	bodyFactor              = 4
 	defaultBalancerGrace    = 2 * time.Second
 	defaultDrainLimit       = 30 * time.Minute
 	maxIdlePeerConnsPerHost = 256
@@ -156,6 +162,9 @@
 	e.snapshots = newSnapshotBuilder(e.members, e.recorder, opts.Disabled.SlowDetection)
 	e.limits = newLimits(opts.Disabled)
 	e.registerInstruments()
+	if opts.Guard != nil {
+		opts.Guard.RegisterGauges(metrics.Gauge)
+	}
 	return e, nil
 }
 
@@ -221,7 +230,9 @@
 	coreSupervisor.Add(e.batcher)
 	coreSupervisor.Add(e.quarantine)
 	httpSupervisor := suture.New("entry callers", suture.Spec{EventHook: e.logEvent, Timeout: e.opts.DrainLimit})
-	httpSupervisor.Add(httpserve.New("entry callers", e.opts.Listener, e.handler(), e.opts.DrainLimit))
+	server := httpserve.New("entry callers", e.opts.Listener, e.handler(), e.opts.DrainLimit)
+	server.SetGuard(e.opts.Guard, bodyFactor)
+	httpSupervisor.Add(server)
 	detached := context.WithoutCancel(ctx)
 	coreCtx, stopCore := context.WithCancel(detached)
 	defer stopCore()
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -8,6 +8,7 @@
 
 	"github.com/quetzalglade/quetzalglade/claim"
 	"github.com/quetzalglade/quetzalglade/decision"
+	"github.com/quetzalglade/quetzalglade/internal/connguard"
 	"github.com/quetzalglade/quetzalglade/internal/httpclient"
 	"github.com/quetzalglade/quetzalglade/internal/httpserve"
 	"github.com/quetzalglade/quetzalglade/kvstore"
@@ -73,6 +74,7 @@
 	return Options{
 		VM: s.Process.VM, Datacentre: s.Process.Datacentre, Region: s.Process.Region, Listener: listener,
 		Keys: peer.Keys(s.Process.Keys), OperatorKeys: peer.Keys(s.Process.OperatorKeys), TLS: s.TLS.Enabled(), ClientTLS: clientTLS,
+		Guard:  connguard.New(connguard.OptionsFor(settings.MemoryMB(), settings.BodyRate(), logger)),
 		Logger: logger, Policy: decision.Policy(s.Routing.Policy),
 		Store:         kvstore.NewEtcdStore(s.Platform.Store, client, s.Platform.StoreTimeout),
 		VMLister:      vmlist.NewClient(s.Platform.VMList, client),
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -131,6 +131,8 @@
 		return o
 	}
 	buffered := g.responseBuffer.NewReader(at.resp.Body)
+	// The pieces and the whole body exist at the same time.
+	buffered.Hold = func(bytes int64) { req.conn.Hold(2 * bytes) }
 	defer buffered.Release()
 	if o.body, o.err = httpwire.ReadBody(buffered, maxResponseBytes); o.err != nil {
 		g.recordFailure(ctx, req, &o)
@@ -229,6 +231,9 @@
 }
 
 func (g *Gateway) writeResponse(w http.ResponseWriter, req *request, o outcome) {
+	// The body counts until the client has read it.
+	req.conn.Hold(int64(len(o.body)))
+	defer req.conn.HoldQuietly(-int64(len(o.body)))
 	copyResponseHeader(w, o.resp)
 	w.WriteHeader(o.resp.StatusCode)
 	_, err := w.Write(o.body)
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/quetzalglade/quetzalglade/internal/connguard"
 	"github.com/quetzalglade/quetzalglade/internal/httpserve"
 	"github.com/quetzalglade/quetzalglade/routing"
 )
@@ -23,8 +24,20 @@
 	// internalHeaderTimeout limits the time to read the header of a request from
 	// the load balancer or another gateway.
 	internalHeaderTimeout = time.Second
+	// internalIdleTimeout and internalHeaderBytes limit idle connections and heads of the load
+	// balancer and other gateways, whose heads take less than 1 KiB.
+	internalIdleTimeout = 2 * time.Minute
+	internalHeaderBytes = 8 << 10
 )
 
+// internalServer returns a server for the load balancer or other gateways.
+func (g *Gateway) internalServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: connguard.Handler(handler, 1), ReadHeaderTimeout: internalHeaderTimeout, IdleTimeout: internalIdleTimeout, MaxHeaderBytes: internalHeaderBytes,
+		ConnState: connguard.SetState, ConnContext: connguard.Context,
+	}
+}
+
 // frontend accepts client connections. Each connection is served under the
 // limits that were in force when it was accepted, by the HTTP server of these
 // limits.
@@ -72,7 +85,9 @@
 func (h *handoffListener) Addr() net.Addr { return h.addr }
 
 func newFrontend(g *Gateway) *frontend {
-	return &frontend{g: g, clients: httpserve.NewListener(g.opts.ClientListener, nil), accepting: make(chan struct{}), conns: httpserve.NewConnections()}
+	clients := httpserve.NewListener(g.opts.ClientListener, nil)
+	clients.SetGuard(g.guard)
+	return &frontend{g: g, clients: clients, accepting: make(chan struct{}), conns: httpserve.NewConnections()}
 }
 
 // serve accepts connections until shutdown is called and passes each to the HTTP
@@ -121,8 +136,8 @@
 	}
 	h := &handoffListener{addr: addr, conns: make(chan net.Conn), done: make(chan struct{})}
 	s := &http.Server{
-		Handler: f.g, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout, MaxHeaderBytes: limits.MaxHeaderBytes,
-		ConnState: f.conns.SetState,
+		Handler: connguard.Handler(f.g, 0), ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout, MaxHeaderBytes: limits.MaxHeaderBytes,
+		ConnState: f.conns.SetState, ConnContext: connguard.Context,
 	}
 	f.limits, f.listener = limits, h
 	f.servers = append(f.servers, s)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -16,11 +17,14 @@
 	"github.com/quetzalglade/quetzalglade/feed"
 	"github.com/quetzalglade/quetzalglade/internal/bodybudget"
 	"github.com/quetzalglade/quetzalglade/internal/bufferlimit"
+	"github.com/quetzalglade/quetzalglade/internal/connguard"
+	"github.com/quetzalglade/quetzalglade/internal/httpserve"
 	"github.com/quetzalglade/quetzalglade/internal/httpwire"
 	"github.com/quetzalglade/quetzalglade/kvstore"
 	"github.com/quetzalglade/quetzalglade/quarantine"
 	"github.com/quetzalglade/quetzalglade/registry"
 	"github.com/quetzalglade/quetzalglade/routing"
+	"github.com/quetzalglade/quetzalglade/settings"
 	"github.com/quetzalglade/quetzalglade/telemetry"
 )
 
@@ -111,6 +115,7 @@
 	retryBudgets   retryBudgets
 	responseBuffer *bufferlimit.Limit
 	bodies         *bodybudget.Budget
+	guard          *connguard.Guard
 	holdQueues     holdQueues
 	evacuations    *evacuations
 	// unknownRegions counts regions in configurations that no data centre has.
@@ -131,10 +136,12 @@
 		stopPhase:      newStopPhase(),
 		responseBuffer: bufferlimit.New(maxBufferedBytes, freeBufferBytes),
 		bodies:         bodybudget.New(bodyMemoryBytes(opts.MemoryMB)),
+		guard:          connguard.New(connguard.OptionsFor(cmp.Or(opts.MemoryMB, defaultMemoryMB), settings.BodyRate(), opts.Logger)),
 	}
 	gatewayMetrics.Gauge("body_bytes", "Bytes that are held or reserved for the bodies of requests.", g.bodies.Used)
 	gatewayMetrics.Gauge("bodies_dropped", "Bodies that were let go after they had been sent, for the memory.", g.bodies.Dropped)
 	gatewayMetrics.Gauge("bodies_refused", "Bodies that got no memory.", g.bodies.Refused)
+	g.guard.RegisterGauges(gatewayMetrics.Gauge)
 	g.targets = registry.NewKeeper(g.decodeTarget, opts.Logger)
 	self := feed.Member{Name: opts.VM, Region: opts.Regions[opts.Datacentre], Addr: opts.PeerListener.Addr().String(), LinkMbps: opts.LinkMbps}
 	g.members = feed.NewMemberRegistry(self, opts.Store, opts.Logger)
@@ -199,12 +206,12 @@
 	}
 	supervisorDone := supervisor.ServeBackground(controlCtx)
 	frontend := newFrontend(g)
-	readyServer := &http.Server{Handler: g.readyHandler(), ReadHeaderTimeout: internalHeaderTimeout}
+	readyServer := g.internalServer(g.readyHandler())
 	defer g.close("readiness", readyServer)
-	go g.serveListener("readiness", readyServer, g.opts.ReadinessListener)
-	peerServer := &http.Server{Handler: g.peerHandler(), ReadHeaderTimeout: internalHeaderTimeout}
+	go g.serveListener("readiness", readyServer, g.guardListener(g.opts.ReadinessListener))
+	peerServer := g.internalServer(g.peerHandler())
 	defer g.close("peers", peerServer)
-	go g.serveListener("peers", peerServer, g.opts.PeerListener)
+	go g.serveListener("peers", peerServer, g.guardListener(g.opts.PeerListener))
 	go frontend.serve()
 	select {
 	case err := <-supervisorDone:
@@ -230,6 +237,13 @@
 	telemetry.Info(g.opts.Logger, "stop", "took_ms", time.Since(startedAt).Milliseconds(), "cut", g.metrics.activeRequests.Load(), "busy_connections", busy)
 }
 
+// guardListener returns a listener whose connections are in the account of the process.
+func (g *Gateway) guardListener(l net.Listener) net.Listener {
+	guarded := httpserve.NewListener(l, nil)
+	guarded.SetGuard(g.guard)
+	return guarded
+}
+
 // serveListener serves connections until the server or its listener is closed.
 func (g *Gateway) serveListener(name string, s *http.Server, l net.Listener) {
 	err := s.Serve(l)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/quetzalglade/quetzalglade/internal/bodybudget"
+	"github.com/quetzalglade/quetzalglade/internal/connguard"
 	"github.com/quetzalglade/quetzalglade/internal/httpwire"
 	"github.com/quetzalglade/quetzalglade/result"
 	"github.com/quetzalglade/quetzalglade/routing"
@@ -32,6 +33,8 @@
 	body            *bodybudget.Body
 	bodyFingerprint string
 	arrivedAt       time.Time
+	// conn is the client's connection in the account of the process, nil if there is none.
+	conn *connguard.Conn
 	// deadline is the time by which the response must be complete.
 	deadline time.Time
 	// triedTargets holds the ids of the targets that were chosen for the request.
@@ -77,7 +80,7 @@
 // admit routes and authenticates a request and reads its body. If it returns an
 // error, the returned request holds only what was determined before the error.
 func (g *Gateway) admit(w http.ResponseWriter, r *http.Request) (*request, *result.Error) {
-	req := &request{arrivedAt: time.Now()}
+	req := &request{arrivedAt: time.Now(), conn: connguard.FromContext(r.Context())}
 	meta, metaErr := g.opts.Codec.ReadRequest(r.Header)
 	req.RequestMeta = meta
 	table := g.table.Load()
--- a/internal/bufferlimit/bufferlimit.go
+++ b/internal/bufferlimit/bufferlimit.go
@@ -30,6 +30,8 @@
 type Account struct {
 	limit *Limit
 	size  int64
+	// Hold, if set, is called with each change of the size.
+	Hold func(bytes int64)
 }
 
 // NewAccount returns an account of an empty buffer.
@@ -42,6 +44,9 @@
 // accounts together exceed the limit.
 func (a *Account) Resize(size int64) error {
 	before := a.Counted()
+	if a.Hold != nil && size != a.size {
+		a.Hold(size - a.size)
+	}
 	a.size = size
 	if a.limit.used.Add(a.Counted()-before) > a.limit.maxBytes && a.Counted() > 0 {
 		return ErrExceeded
--- a/internal/httpserve/connections.go
+++ b/internal/httpserve/connections.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/quetzalglade/quetzalglade/internal/connguard"
 )
 
 // Connections holds the states of a server's connections, so that a stop can wait for their
@@ -30,6 +31,7 @@
 
 // SetState records the state of a connection; it is a ConnState function of http.Server.
 func (c *Connections) SetState(conn net.Conn, state http.ConnState) {
+	connguard.SetState(conn, state)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if state == http.StateClosed || state == http.StateHijacked {
@@ -49,10 +51,7 @@
 
 // wrapped returns the connection of a Listener, nil if netConn is another one.
 func wrapped(netConn net.Conn) *conn {
-	if t, ok := netConn.(*tls.Conn); ok {
-		netConn = t.NetConn()
-	}
-	w, _ := netConn.(*conn)
+	w, _ := unwrap(netConn).(*conn)
 	return w
 }
 
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -10,6 +10,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/thejerf/suture/v4"
+
+	"github.com/quetzalglade/quetzalglade/internal/connguard"
 )
 
 // Limits that protect every server against slow clients, idle connections and
@@ -55,6 +57,17 @@
 	return s
 }
 
+// SetGuard adds the connections to an account, if g is not nil, in which each byte of a body
+// counts as factor bytes. It must be called before Serve.
+func (s *Service) SetGuard(g *connguard.Guard, factor int64) {
+	if g == nil {
+		return
+	}
+	s.listener.SetGuard(g)
+	s.server.ConnContext = connguard.Context
+	s.server.Handler = connguard.Handler(s.server.Handler, factor)
+}
+
 // Serve implements suture.Service. A closed listener cannot be reopened, so the
 // service is never restarted: a failure of the listener terminates the
 // supervisor tree.
--- a/internal/httpserve/listener.go
+++ b/internal/httpserve/listener.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalglade/quetzalglade/internal/connguard"
 )
 
 // Listener is a net.Listener for a server whose stop loses no connection: it accepts those
@@ -16,6 +18,7 @@
 type Listener struct {
 	net.Listener
 	tlsConfig *tls.Config
+	guard     *connguard.Guard
 	stopOnce  sync.Once
 	// stopping is closed at the start of the stop.
 	stopping chan struct{}
@@ -31,6 +34,10 @@
 	return &Listener{Listener: l, tlsConfig: tlsConfig, stopping: make(chan struct{})}
 }
 
+// SetGuard makes the listener add its connections to an account. It must be called before
+// Accept.
+func (l *Listener) SetGuard(g *connguard.Guard) { l.guard = g }
+
 // Stop makes Accept return the connections that have been opened, close the listener and
 // then return net.ErrClosed. It does not wait for that.
 func (l *Listener) Stop() {
@@ -58,6 +65,9 @@
 	if tcp, ok := c.(*net.TCPConn); ok {
 		c = &conn{TCPConn: tcp}
 	}
+	if l.guard != nil {
+		c = l.guard.Add(c)
+	}
 	if l.tlsConfig != nil {
 		c = tls.Server(c, l.tlsConfig)
 	}
--- a/internal/httpserve/readable.go
+++ b/internal/httpserve/readable.go
@@ -1,7 +1,7 @@
 package httpserve
 
 import (
-	"crypto/tls"
+	"net"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -10,10 +10,7 @@
 // readable reports whether a connection has unread data or a listener has a connection that
 // waits to be accepted. It reports false if it can't tell.
 func readable(conn any) bool {
-	if t, ok := conn.(*tls.Conn); ok {
-		conn = t.NetConn()
-	}
-	sc, ok := conn.(syscall.Conn)
+	sc, ok := unwrap(conn).(syscall.Conn)
 	if !ok {
 		return false
 	}
@@ -29,3 +26,14 @@
 	})
 	return err == nil && ready
 }
+
+// unwrap returns the connection below those that wrap it.
+func unwrap(conn any) any {
+	for {
+		wrapper, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			return conn
+		}
+		conn = wrapper.NetConn()
+	}
+}
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -6,6 +6,9 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
+
+	"github.com/quetzalglade/quetzalglade/internal/connguard"
+	"github.com/quetzalglade/quetzalglade/settings"
 )
 
 // Settings are the INI settings of a sidecar process.
@@ -44,5 +47,6 @@
 	if err != nil {
 		return Options{}, errors.Wrap(err, "[process] listen")
 	}
-	return Options{EngineAddr: s.Engine.Address, Listener: l, Logger: logger, PollPeriod: s.Engine.Period}, nil
+	guard := connguard.New(connguard.OptionsFor(s.Process.MemoryMB, settings.BodyRate(), logger))
+	return Options{EngineAddr: s.Engine.Address, Listener: l, Guard: guard, Logger: logger, PollPeriod: s.Engine.Period}, nil
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -13,6 +13,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/quetzalglade/quetzalglade/decision"
+	"github.com/quetzalglade/quetzalglade/internal/connguard"
 	"github.com/quetzalglade/quetzalglade/internal/httpserve"
 	"github.com/quetzalglade/quetzalglade/telemetry"
 )
@@ -35,7 +36,9 @@
 	EngineAddr string
 	Engine     Engine
 	Listener   net.Listener
-	Logger     log.Logger
+	// Guard is the account of what the process holds for others, nil for none.
+	Guard  *connguard.Guard
+	Logger log.Logger
 	// PollPeriod is the time between polls of the engine.
 	PollPeriod time.Duration
 }
@@ -90,6 +93,9 @@
 	return &Sidecar{opts: opts, latest: Line{EngineUnreachable: true}, changed: make(chan struct{})}
 }
 
+// bodyFactor is the memory that a request takes for each byte of its body.
+const bodyFactor = 2
+
 // stopTimeout limits how long a stop waits for open streams.
 const stopTimeout = 200 * time.Millisecond
 
@@ -102,7 +108,9 @@
 	supervisor := suture.New("sidecar", suture.Spec{EventHook: func(e suture.Event) {
 		telemetry.Warn(s.opts.Logger, "supervisor event", "event", e.String())
 	}})
-	supervisor.Add(httpserve.New("watch", s.opts.Listener, mux, stopTimeout))
+	server := httpserve.New("watch", s.opts.Listener, mux, stopTimeout)
+	server.SetGuard(s.opts.Guard, bodyFactor)
+	supervisor.Add(server)
 	supervisor.Add(&poller{s: s})
 	err := supervisor.Serve(ctx)
 	telemetry.Info(s.opts.Logger, "stop")
