connguard: a least limit of 8 MiB

Cause: at 1 MB of memory, as three tests of platform set it, the account held less than two requests and shed sound ones: TestBodyBeyondMemoryIsRefused, TestRefusedRequestWithDroppedBodyIsNotRun and TestSlowSendersLeaveMemoryToOthers failed.

--- a/internal/connguard/guard.go
+++ b/internal/connguard/guard.go
@@ -24,6 +24,9 @@
 	// 20 MiB that a process needs without clients it stays below the soft limit of the Go
 	// runtime, which is at least half of the memory.
 	memoryFraction = 0.375
+	// minBytes is the least limit, which leaves room for two requests of 4 MiB. It applies below
+	// 22 MB, where the process itself takes all of the memory.
+	minBytes = 8 << 20
 	// reserveFraction is the part of the descriptors that clients leave to the store, other
 	// processes and targets, minReserve the least number of them.
 	reserveFraction = 0.25
@@ -63,7 +66,10 @@
 // OptionsFor returns the options for a process with the given memory, 0 if unknown, whose
 // descriptors RLIMIT_NOFILE limits.
 func OptionsFor(memoryMB int, bodyRate int64, logger log.Logger) Options {
-	o := Options{MaxBytes: int64(memoryFraction * float64(memoryMB) * bytesPerMB), BodyRate: bodyRate, Logger: logger}
+	o := Options{BodyRate: bodyRate, Logger: logger}
+	if memoryMB > 0 {
+		o.MaxBytes = max(minBytes, int64(memoryFraction*float64(memoryMB)*bytesPerMB))
+	}
 	var limit syscall.Rlimit
 	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil || limit.Cur == 0 || limit.Cur > 1<<24 {
 		return o
