bodybudget, connguard: no memory waits for clients that have left

Change: a wait ends once the kernel says that the client has closed. New memory waits up to 100 ms while requests of closed connections hold more than 1/16 of the limit. A request that is passed on counts as 40 KiB.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -51,7 +51,7 @@
 	}
 	startedAt := time.Now()
 	options := bodybudget.Options{
-		Declared: r.ContentLength, MaxBytes: limit, Priority: req.priority, Stop: g.stopPhase.dispatch.Done(), Deadline: req.deadline, Hold: req.conn.HoldQuietly,
+		Declared: r.ContentLength, MaxBytes: limit, Priority: req.priority, Stop: g.stopPhase.dispatch.Done(), Deadline: req.deadline, Hold: req.conn.HoldQuietly, Gone: req.conn.PeerClosed,
 		// A stream is continued at another target, which needs the body.
 		Keep: req.route.Kind == routing.Stream, Unrepeatable: req.route.Kind != routing.Idempotent,
 	}
--- a/internal/bodybudget/body.go
+++ b/internal/bodybudget/body.go
@@ -57,6 +57,9 @@
 	// Stop, when closed, and Deadline, if set, end the wait for memory.
 	Stop     <-chan struct{}
 	Deadline time.Time
+	// Gone, if set, reports whether the client has closed its connection. Its wait for memory
+	// ends then.
+	Gone func() bool
 	// Hold, if set, is called with each change of the memory that counts for the body. It must
 	// not call the budget.
 	Hold func(bytes int64)
--- a/internal/bodybudget/budget.go
+++ b/internal/bodybudget/budget.go
@@ -34,6 +34,9 @@
 // ErrFull is returned for a body that gets no memory in time.
 var ErrFull = errors.New("request bodies exceed the memory of the process for them")
 
+// errGone is returned for a body whose client has left while it waited.
+var errGone = errors.New("the client has closed its connection")
+
 // Budget is the memory for the bodies of all requests together. It may be used from any
 // goroutine.
 type Budget struct {
@@ -140,6 +143,9 @@
 		case <-w.granted:
 			return nil
 		case <-recheck.C:
+			if o.Gone != nil && o.Gone() {
+				return b.giveUp(w, errGone)
+			}
 			b.mu.Lock()
 			b.grant()
 			b.mu.Unlock()
--- a/internal/connguard/guard.go
+++ b/internal/connguard/guard.go
@@ -44,7 +44,7 @@
 	activeBytes = 40 << 10
 	// pairedBytes is for the request that is passed on: its header, its connection and the
 	// goroutine that sends it.
-	pairedBytes = 24 << 10
+	pairedBytes = 40 << 10
 )
 
 // freedPart is the part of the limit that is free after connections were shed, so that the
@@ -81,11 +81,13 @@
 
 // Guard is the account of a process. It may be used from any goroutine.
 type Guard struct {
-	o      Options
-	held   atomic.Int64
-	paired atomic.Int64
-	shed   atomic.Int64
-	slow   atomic.Int64
+	o    Options
+	held atomic.Int64
+	// closing is what the requests of closed connections held, until they have ended.
+	closing atomic.Int64
+	paired  atomic.Int64
+	shed    atomic.Int64
+	slow    atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
@@ -133,6 +135,8 @@
 	// running is set while the client can make no progress, paired while the request may use
 	// a connection to another process.
 	running, paired bool
+	// closing is the connection's part of Guard.closing.
+	closing int64
 	// cancel ends the request in progress, nil if there is none.
 	cancel context.CancelFunc
 	rate   bodyRate
@@ -187,9 +191,34 @@
 func (c *Conn) Hold(bytes int64) {
 	if c.HoldQuietly(bytes); c != nil && bytes > 0 {
 		c.g.enforce()
+		c.awaitClosing()
 	}
 }
 
+// Wait for the memory of closed connections, which is free only when their requests have
+// ended. The wait is short, since it holds up a sound request too.
+const (
+	// closingPart is the part of the limit that they may hold without a wait.
+	closingPart   = 1.0 / 16
+	closingWait   = 100 * time.Millisecond
+	closingPeriod = 2 * time.Millisecond
+)
+
+// awaitClosing waits while the requests of closed connections hold much.
+func (c *Conn) awaitClosing() {
+	for end := time.Now().Add(closingWait); c.g.closing.Load() > int64(closingPart*float64(c.g.o.MaxBytes)); time.Sleep(closingPeriod) {
+		if c.g.o.MaxBytes == 0 || c.isClosed() || time.Now().After(end) {
+			return
+		}
+	}
+}
+
+func (c *Conn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
 // HoldQuietly is like Hold without closing any connection, for callers that hold locks.
 func (c *Conn) HoldQuietly(bytes int64) {
 	if c == nil {
@@ -247,6 +276,8 @@
 func (c *Conn) endRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.g.closing.Add(-c.closing)
+	c.closing = 0
 	c.unpair()
 	if c.cancel != nil {
 		c.cancel()
@@ -292,12 +323,14 @@
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	if !c.closed {
-		c.unpair()
-		c.add(-c.held)
-		c.closed = true
 		if c.cancel != nil {
+			c.closing = c.held
+			c.g.closing.Add(c.closing)
 			c.cancel()
 		}
+		c.unpair()
+		c.add(-c.held)
+		c.closed = true
 	}
 	c.mu.Unlock()
 	c.g.mu.Lock()
