gateway: run resumable streams again at another target

A stream whose target broke was cut unless a copy of its KV cache existed, although routes with `resumable` allow another run. Such a stream is now run again at a target that has not run it, with Last-Event-Id of the last event that the client has received, within max_attempts and the retry budget. A failure of the target before the first event is retried like that of an idempotent call, and missing events after a continuation break the segment.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -60,6 +60,8 @@
 	raw []byte
 	// id is the event's id, "" if it has none.
 	id string
+	// hasData is set if the event has a data field, so that it isn't just a comment.
+	hasData bool
 }
 
 // next returns the next event; raw is valid until the next call. Blank lines before an
@@ -108,6 +110,7 @@
 		if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			ev.id = string(bytes.TrimPrefix(id, []byte(" ")))
 		}
+		ev.hasData = ev.hasData || bytes.HasPrefix(text, []byte("data"))
 	}
 }
 
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -27,6 +27,9 @@
 	PromptTokens int
 	MaxOutput    int
 	OutputHint   int
+	// LastEventID is the ID of the last event of a stream that the client has received
+	// in an earlier response, "" if it states none. It is forwarded unchanged.
+	LastEventID string
 	// SharedParts are the IDs of the parts of the prompt that other requests may
 	// share, in the order of the prompt.
 	SharedParts []string
@@ -48,6 +51,10 @@
 	// Resume continues a streaming request from a copy of its KV cache, nil for
 	// a new request.
 	Resume *Resume
+	// LastEventID is the ID of the last event that the client has received. It makes a run
+	// from the start continue after that event; if it is "", the client's own value is
+	// left in place. With Resume it is unused.
+	LastEventID string
 }
 
 // Resume identifies a copy of a request's KV cache and the last event that was
--- a/gateway/sourcestop.go
+++ b/gateway/sourcestop.go
@@ -48,7 +48,10 @@
 		return
 	}
 	startedAt := time.Now()
-	resume := *next.resume
+	var resume Resume
+	if next.resume != nil {
+		resume = *next.resume
+	}
 	stopped := make(chan sourceStop)
 	expired := make(chan struct{})
 	go func() {
@@ -75,9 +78,9 @@
 	if outcome.result.Handle != "" {
 		kept := &Resume{HolderAddr: seg.target.Addr, Handle: outcome.result.Handle, LastEventID: s.lastEventID}
 		if copied {
-			next.resume = kept
+			next.resume, resume = kept, *kept
 		}
-		s.kept = &keptCache{source: seg.target, resume: *kept, next: *next.resume}
+		s.kept = &keptCache{source: seg.target, resume: *kept, next: resume}
 	}
 	s.g.metrics.recordSourceStop(s.req.service.Name, outcome.confirmed())
 	telemetry.Info(s.g.opts.Logger, "source stop", "request", s.req.ID, "source", seg.target.ID, "next", next.target.ID,
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -27,6 +27,7 @@
 	headerSent      bool
 	deliveredEvents int
 	lastEventID     string
+	resumption      resumption
 	// timeToFirstEvent is the time from the arrival of the request to its first
 	// event.
 	timeToFirstEvent time.Duration
@@ -56,6 +57,9 @@
 	// resume names the copy of the KV cache from which the segment continues
 	// the stream, nil if the segment runs the request from the start.
 	resume *Resume
+	// lastEventID is the event after which a run from the start continues the stream, "" if
+	// the client has received none.
+	lastEventID string
 	// startedAt is the time at which the segment started. migration is nil if
 	// the request cannot be migrated.
 	startedAt time.Time
@@ -65,6 +69,8 @@
 	firstEventAt time.Time
 	// recordedSound is set once the target has survived the begin of the answer.
 	recordedSound bool
+	// aligned is set once the events of a continuation follow those before it.
+	aligned bool
 }
 
 // segmentResult states how a segment ended.
@@ -87,6 +93,7 @@
 func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, req *request) {
 	req.triedTargets = map[string]bool{}
 	s := &streamRequest{g: g, req: req, w: w, controller: http.NewResponseController(w)}
+	s.beginResumption()
 	defer s.freeKept()
 	next := s.initialSegment(ctx)
 	var err error
@@ -103,6 +110,9 @@
 		}
 		next = s.nextSegment(ctx, seg, segResult, n)
 		if segResult == segmentBroken && next == nil {
+			if s.relayLastFailure(ctx) {
+				return
+			}
 			s.fail(ctx, seg.target, err)
 			return
 		}
@@ -135,17 +145,18 @@
 	if segResult == segmentBroken {
 		// The target may have used the copy, or may still run the request.
 		s.freeKept()
+		s.recordRun(seg)
 		if !s.retrySpent {
 			s.failovers = s.failoverSegments(seg)
 		}
-		next := s.failOver(seg)
+		next := s.continueStream(ctx, seg, segResult, n)
 		if next != nil {
 			s.stopAtSource(ctx, seg, next)
 		}
 		return next
 	}
-	if seg.resume != nil {
-		return s.failOver(seg)
+	if seg.resume != nil || s.mayHaveRun {
+		return s.continueStream(ctx, seg, segResult, n)
 	}
 	if n+1 >= maxDispatches {
 		return nil
@@ -199,6 +210,7 @@
 // serveSegment dispatches the request to the segment's target and relays its
 // events to the client.
 func (s *streamRequest) serveSegment(ctx context.Context, seg *segment) (segmentResult, error) {
+	s.resumption.lastFailure = nil
 	load := newSegmentLoad(s.req, seg)
 	defer load.remove()
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -231,8 +243,7 @@
 		return segmentNotRun, nil
 	}
 	if at.resp.StatusCode != http.StatusOK || !at.respMeta.Signed {
-		s.relayFailure(ctx, at)
-		return segmentDone, nil
+		return s.relayFailure(ctx, at)
 	}
 	err = s.relayEvents(at, load, seg)
 	switch {
@@ -256,7 +267,7 @@
 }
 
 func (seg *segment) attempt() AttemptMeta {
-	a := AttemptMeta{Resume: seg.resume}
+	a := AttemptMeta{Resume: seg.resume, LastEventID: seg.lastEventID}
 	if seg.backup != nil {
 		a.BackupAddr = seg.backup.Addr
 	}
@@ -301,6 +312,9 @@
 		if s.isRepeated(ev) {
 			continue
 		}
+		if err := s.checkGap(seg, ev); err != nil {
+			return err
+		}
 		s.sendHeader(at.resp)
 		if err := s.writeEvent(ev, !reader.hasBuffered()); err != nil {
 			return errors.Mark(err, errClientWrite)
@@ -407,6 +421,7 @@
 	}
 	s.lastEventAt = now
 	s.deliveredEvents++
+	s.resumption.delivered(s.lastEventID, ev)
 	if ev.id != "" {
 		s.lastEventID = ev.id
 	}
@@ -418,8 +433,9 @@
 
 // relayFailure responds to the client with the outcome of an attempt whose
 // response has a status other than 200 or is unsigned. If a response header was
-// already sent to the client, the stream fails instead.
-func (s *streamRequest) relayFailure(ctx context.Context, at *attempt) {
+// already sent to the client, the stream fails instead. A resumable stream may be sent to
+// another target after a failure, like an idempotent call.
+func (s *streamRequest) relayFailure(ctx context.Context, at *attempt) (segmentResult, error) {
 	buffered := s.g.responseBuffer.NewReader(at.resp.Body)
 	defer buffered.Release()
 	body, err := httpwire.ReadBody(buffered, maxResponseBytes)
@@ -427,11 +443,15 @@
 	if err == nil && !at.respMeta.Signed {
 		o.err = errUnsignedResponse
 	}
+	if s.req.route.Resumable && (o.err != nil || o.resp.StatusCode >= http.StatusInternalServerError) {
+		return segmentBroken, s.recordTargetFailure(ctx, &o)
+	}
 	if s.headerSent {
 		s.fail(ctx, at.target, errors.Newf("target responded with status %d", at.resp.StatusCode))
-		return
+		return segmentDone, nil
 	}
 	s.g.respondCall(ctx, s.w, s.req, o, 1)
+	return segmentDone, nil
 }
 
 func (s *streamRequest) recordEnd(t *registry.Target, outcome string, err error) {
--- a/routing/table.go
+++ b/routing/table.go
@@ -14,7 +14,7 @@
 // may be sent to a target again after an attempt that may have run.
 type Kind int
 
-// The kinds of requests. A stream is non-idempotent.
+// The kinds of requests. A stream is non-idempotent unless its route is resumable.
 const (
 	Idempotent Kind = iota
 	NonIdempotent
@@ -39,6 +39,9 @@
 	Host   string
 	Prefix string
 	Kind   Kind
+	// Resumable streams are idempotent: another target may run the request again and
+	// continue after the last event that the client has received.
+	Resumable bool
 	// Public routes accept requests without an API key.
 	Public bool
 	// Timeout limits the time from the arrival of a request to the end of its
