platform: test resumable streams

The stand-in engine starts a stream after Last-Event-Id without a copy, can leave events out, omit ids and answer a stream with a status.

--- a/internal/platformtest/worker.go
+++ b/internal/platformtest/worker.go
@@ -39,6 +39,10 @@
 	// RepeatsEvent starts the continuation of a stream with the last event that
 	// the client has received.
 	RepeatsEvent bool
+	// SkipsEvents is the number of events that a stream omits at its start.
+	SkipsEvents int
+	// OmitIDs sends the events of a stream without IDs.
+	OmitIDs bool
 	// DuplicateResponse sends the response twice.
 	DuplicateResponse bool
 	// MismatchedResponse sends a response to another request before the right one.
@@ -495,6 +499,7 @@
 	if f.RepeatsEvent && from > 0 {
 		from--
 	}
+	from += f.SkipsEvents
 	id := r.Header.Get("X-Request-Id")
 	body := readAll(r)
 	if f.Endless != "" {
@@ -538,19 +543,20 @@
 	}
 }
 
-// startEvent returns the number of the first event to generate, and false if the
+// startEvent returns the number of the first event to generate: the one after the event that
+// the request names, if any. It returns false if the
 // request is a continuation and the worker does not hold the copy of its KV cache.
 // It deletes the copy, which serves only one continuation.
 func (w *Worker) startEvent(r *http.Request) (int, bool) {
-	kvSource := r.Header.Get("Kv-From")
-	if kvSource == "" {
-		return 0, true
-	}
-	_, handle, _ := strings.Cut(kvSource, "/")
 	last, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	if err != nil {
 		last = -1
 	}
+	kvSource := r.Header.Get("Kv-From")
+	if kvSource == "" {
+		return last + 1, true
+	}
+	_, handle, _ := strings.Cut(kvSource, "/")
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	hasCopy := w.kvCopies[handle]
@@ -566,12 +572,16 @@
 		backup.kvCopies[r.Header.Get("X-Request-Id")] = true
 		backup.mu.Unlock()
 	}
+	if f.StatusOnly > 0 {
+		rw.WriteHeader(f.StatusOnly)
+		return
+	}
 	if f.OmitLength {
 		w.serveUndelimitedStream(rw, r, f)
 		return
 	}
 	id := r.Header.Get("X-Request-Id")
-	if r.Header.Get("Kv-From") != "" {
+	if r.Header.Get("Kv-From") != "" || r.Header.Get("Last-Event-Id") != "" {
 		w.workers.recordContinuation(w, id)
 	}
 	run, end := w.beginStream(id)
@@ -598,7 +608,10 @@
 			w.dropCopies(id)
 			interval = w.LastEventGap
 		}
-		_, _ = fmt.Fprintf(rw, "id: %d\ndata: token %d\n\n", i, i)
+		if !f.OmitIDs {
+			_, _ = fmt.Fprintf(rw, "id: %d\n", i)
+		}
+		_, _ = fmt.Fprintf(rw, "data: token %d\n\n", i)
 		if interval > 0 {
 			_ = controller.Flush()
 		}
