gateway: read ahead of clients that read slowly

A gateway wrote each event before it read the next one, so a client that reads slowly left the target's response unread, and the target aborted it.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -22,13 +23,14 @@
 	end *endRecorder
 	buf bytes.Buffer
 	// account counts buf against the limit of buffered responses.
+	limit   *bufferlimit.Limit
 	account *bufferlimit.Account
 }
 
 // newEventReader returns a reader that counts its buffer against the limit until release.
 func newEventReader(r io.Reader, limit *bufferlimit.Limit) *eventReader {
 	end := &endRecorder{r: r}
-	return &eventReader{r: bufio.NewReaderSize(end, 4<<10), end: end, account: limit.NewAccount()}
+	return &eventReader{r: bufio.NewReaderSize(end, 4<<10), end: end, limit: limit, account: limit.NewAccount()}
 }
 
 // endRecorder records that the reader r has ended. Its end may arrive with the last data.
@@ -55,6 +57,14 @@
 	}
 }
 
+// detach leaves the raw bytes of the last event valid after the next call of next. It returns
+// the account of their buffer, which the caller must release.
+func (e *eventReader) detach() *bufferlimit.Account {
+	account := e.account
+	e.buf, e.account = bytes.Buffer{}, e.limit.NewAccount()
+	return account
+}
+
 // event is one server-sent event, including the blank line that ends it.
 type event struct {
 	raw []byte
@@ -62,6 +72,8 @@
 	id string
 	// hasData is set if the event has a data field, so that it isn't just a comment.
 	hasData bool
+	// readAt is the time at which the event was read, zero if it is just being passed on.
+	readAt time.Time
 }
 
 // next returns the next event; raw is valid until the next call. Blank lines before an
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -71,6 +72,10 @@
 	// accepted, DrainLimit the maximum duration of the whole stop.
 	BalancerGrace time.Duration
 	DrainLimit    time.Duration
+	// StreamReadAheadBytes limits what is read from the target of one stream while its client
+	// reads slowly, ReadAheadBytes that of all streams together; 0 stands for a default.
+	StreamReadAheadBytes int64
+	ReadAheadBytes       int64
 }
 
 // Limits on connections to targets.
@@ -107,8 +112,12 @@
 	slowdowns      slowdowns
 	retryBudgets   retryBudgets
 	responseBuffer *bufferlimit.Limit
-	bodies         *bodybudget.Budget
-	holdQueues     holdQueues
+	// readAhead limits the events of all streams that are read ahead, streamReadAhead those of
+	// one stream.
+	readAhead       *bufferlimit.Limit
+	streamReadAhead int64
+	bodies          *bodybudget.Budget
+	holdQueues      holdQueues
 }
 
 // New returns a gateway that is not yet serving.
@@ -118,16 +127,19 @@
 		return nil, err
 	}
 	g := &Gateway{
-		opts:           opts,
-		connPool:       httpwire.NewPool(httpwire.PoolOptions{DialTimeout: dialTimeout, UserTimeout: unacknowledgedTimeout, MaxIdle: maxIdleConns}),
-		placementCosts: decision.DefaultPlacementCosts(),
-		metrics:        gatewayMetrics,
-		stopPhase:      newStopPhase(),
-		responseBuffer: bufferlimit.New(maxBufferedBytes, freeBufferBytes),
-		bodies:         bodybudget.New(bodyMemoryBytes(opts.MemoryMB)),
+		opts:            opts,
+		connPool:        httpwire.NewPool(httpwire.PoolOptions{DialTimeout: dialTimeout, UserTimeout: unacknowledgedTimeout, MaxIdle: maxIdleConns}),
+		placementCosts:  decision.DefaultPlacementCosts(),
+		metrics:         gatewayMetrics,
+		stopPhase:       newStopPhase(),
+		responseBuffer:  bufferlimit.New(maxBufferedBytes, freeBufferBytes),
+		readAhead:       bufferlimit.New(cmp.Or(opts.ReadAheadBytes, defaultReadAhead), 0),
+		streamReadAhead: cmp.Or(opts.StreamReadAheadBytes, defaultStreamReadAhead),
+		bodies:          bodybudget.New(bodyMemoryBytes(opts.MemoryMB)),
 	}
 	gatewayMetrics.Gauge("body_bytes", "Bytes that are held or reserved for the bodies of requests.", g.bodies.Used)
 	gatewayMetrics.Gauge("bodies_dropped", "Bodies that were let go after they had been sent, for the memory.", g.bodies.Dropped)
+	gatewayMetrics.Gauge("read_ahead_bytes", "Bytes of events that were read from targets while their clients read slowly.", g.readAhead.Used)
 	gatewayMetrics.Gauge("bodies_refused", "Bodies that got no memory.", g.bodies.Refused)
 	g.targets = registry.NewKeeper(g.decodeTarget, opts.Logger)
 	self := feed.Member{Name: opts.VM, Region: opts.Regions[opts.Datacentre], Addr: opts.PeerListener.Addr().String(), LinkMbps: opts.LinkMbps}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -19,6 +19,7 @@
 	holds           metric.Int64Counter
 	sourceStops     metric.Int64Counter
 	reruns          metric.Int64Counter
+	slowReaders     metric.Int64Counter
 	firstByte       metric.Float64Histogram
 	requestDuration metric.Float64Histogram
 }
@@ -39,6 +40,7 @@
 		holds:           base.Counter("target_holds", "Times that a target turned a request away and wanted no further ones for some time, by service."),
 		sourceStops:     base.Counter("source_stops", "Calls that stop a request at its source before it continues elsewhere, by service and whether the source confirmed the stop."),
 		reruns:          base.Counter("stream_reruns", "Broken resumable streams without a copy of their KV cache, by service, whether the client had received events, and whether another target ran the stream again."),
+		slowReaders:     base.Counter("slow_readers", "Times that reading from a target went ahead of a client that reads slowly (began), and that a limit stopped it (full), by service."),
 		firstByte:       base.DurationHistogram("first_byte", "Time to the first byte of a target's answer.", latencyBounds...),
 		requestDuration: base.DurationHistogram("request", "Time to the end of an answer.", latencyBounds...),
 	}
@@ -67,3 +69,7 @@
 func (m *metrics) recordRerun(service string, afterEvents bool, verdict string) {
 	m.reruns.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.Bool("after_events", afterEvents), attribute.String("verdict", verdict)))
 }
+
+func (m *metrics) recordSlowReader(service, event string) {
+	m.slowReaders.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("event", event)))
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,6 +29,8 @@
 	deliveredEvents int
 	lastEventID     string
 	resumption      resumption
+	// writesLimited is set once writes to the client have a deadline.
+	writesLimited atomic.Bool
 	// timeToFirstEvent is the time from the arrival of the request to its first
 	// event.
 	timeToFirstEvent time.Duration
@@ -95,6 +98,7 @@
 	s := &streamRequest{g: g, req: req, w: w, controller: http.NewResponseController(w)}
 	s.beginResumption()
 	defer s.freeKept()
+	defer s.unlimitWrites()
 	next := s.initialSegment(ctx)
 	var err error
 	for n := 0; next != nil; n++ {
@@ -249,7 +253,7 @@
 	switch {
 	case errors.Is(err, io.EOF):
 		complete = true
-		s.recordSound(seg, true)
+		s.recordSound(seg, true, time.Time{})
 		s.g.clearSuspect(s.req)
 		s.sendHeader(at.resp)
 		s.recordEnd(seg.target, "complete", nil)
@@ -299,16 +303,17 @@
 // target. It always returns an error: io.EOF for a clean end, errSwitch for a
 // switch.
 func (s *streamRequest) relayEvents(at *attempt, load *segmentLoad, seg *segment) error {
-	reader := newEventReader(at.resp.Body, s.g.responseBuffer)
-	defer reader.release()
+	events := s.newReadAhead(at, seg)
+	defer events.reader.release()
+	defer events.stop()
 	for {
-		ev, err := reader.next()
+		ev, err := events.next()
 		if err != nil {
 			return err
 		}
 		load.setPrefillPending(false)
 		s.freeKept()
-		s.recordSound(seg, false)
+		s.recordSound(seg, false, ev.readAt)
 		if s.isRepeated(ev) {
 			continue
 		}
@@ -316,10 +321,11 @@
 			return err
 		}
 		s.sendHeader(at.resp)
-		if err := s.writeEvent(ev, !reader.hasBuffered()); err != nil {
+		flush := !events.hasMore()
+		if err := events.write(func() error { return s.writeEvent(ev, flush) }); err != nil {
 			return errors.Mark(err, errClientWrite)
 		}
-		if reader.hasBuffered() || reader.hasEnded() || !seg.switchRequested() || at.conn.Await(s.endWait()) {
+		if !events.mayEnd() || !seg.switchRequested() || at.conn.Await(s.endWait()) {
 			continue
 		}
 		if s.prepareSwitch(seg) {
@@ -329,9 +335,13 @@
 }
 
 // recordSound records that a target has survived the begin of an answer: at the end of
-// the answer, or with an event that arrives later than soundRunTime after the first.
-func (s *streamRequest) recordSound(seg *segment, complete bool) {
-	now := time.Now()
+// the answer, or with an event that arrives later than soundRunTime after the first. The
+// event was read at readAt, now if that is zero.
+func (s *streamRequest) recordSound(seg *segment, complete bool, readAt time.Time) {
+	now := readAt
+	if now.IsZero() {
+		now = time.Now()
+	}
 	if seg.firstEventAt.IsZero() {
 		if complete {
 			return
--- a/internal/platformtest/worker.go
+++ b/internal/platformtest/worker.go
@@ -41,6 +41,10 @@
 	RepeatsEvent bool
 	// SkipsEvents is the number of events that a stream omits at its start.
 	SkipsEvents int
+	// EventBytes is the size of the text of each event, 0 for a short one. A stream whose
+	// response is unread for MaxUnread, if not 0, is aborted.
+	EventBytes int
+	MaxUnread  time.Duration
 	// OmitIDs sends the events of a stream without IDs.
 	OmitIDs bool
 	// DuplicateResponse sends the response twice.
@@ -611,7 +615,10 @@
 		if !f.OmitIDs {
 			_, _ = fmt.Fprintf(rw, "id: %d\n", i)
 		}
-		_, _ = fmt.Fprintf(rw, "data: token %d\n\n", i)
+		if f.MaxUnread > 0 {
+			_ = controller.SetWriteDeadline(time.Now().Add(f.MaxUnread))
+		}
+		_, _ = fmt.Fprintf(rw, "data: token %d%s\n\n", i, strings.Repeat(".", f.EventBytes))
 		if interval > 0 {
 			_ = controller.Flush()
 		}
