gateway: limit the wait of a stream that runs again after its first event

A less urgent stream that ran again could be held back for an engine with room as long as one that has not begun, while clients leave after a pause of two seconds. Once events have been delivered it waits 300 ms at most.

--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -132,13 +132,32 @@
 				s.req.triedTargets[t.ID] = true
 			}
 		}
-		t := s.g.placeStream(ctx, s.req)
+		t := s.placeSoon(ctx)
 		if t == nil || !s.resumption.ranAt[t.Addr] {
 			return t
 		}
 	}
 }
 
+// maxRerunWait limits the wait for a target with room once the client has received events. A
+// client abandons a stream after a pause of two seconds, which also includes the prefill.
+const maxRerunWait = 300 * time.Millisecond
+
+// placeSoon is like placeStream. Once the client has received events, it doesn't hold the
+// stream back for longer than maxRerunWait.
+func (s *streamRequest) placeSoon(ctx context.Context) *registry.Target {
+	if s.deliveredEvents == 0 {
+		return s.g.placeStream(ctx, s.req)
+	}
+	waitCtx, cancel := context.WithTimeout(ctx, maxRerunWait)
+	defer cancel()
+	t := s.g.placeStream(waitCtx, s.req)
+	if t == nil && ctx.Err() == nil {
+		t = s.g.chooseTarget(s.req, s.req.triedTargets)
+	}
+	return t
+}
+
 // checkGap returns an error for the first new event of a continuation of a resumable stream
 // if events are missing before it. Event IDs count by 1 unless the stream has shown others.
 func (s *streamRequest) checkGap(seg *segment, ev event) error {
