--- a/gateway/sourcestop.go
+++ b/gateway/sourcestop.go
@@ -95,8 +95,14 @@
 }
 
 // canReturnToSource reports whether the stream can continue at the source that has stopped
-// it. It returns once at most, since its source leaves.
-func (s *streamRequest) canReturnToSource() bool { return s.kept != nil && !s.returned }
+// it. It returns once at most, since its source leaves, and not to an evacuated data centre.
+func (s *streamRequest) canReturnToSource() bool {
+	if s.kept == nil || s.returned {
+		return false
+	}
+	eligible := s.g.eligibility(s.req)
+	return eligible.allows(s.kept.source)
+}
 
 // returnToSource returns the segment that continues the stream at that source.
 func (s *streamRequest) returnToSource() *segment {
@@ -134,6 +140,9 @@
 		if !source.Load.HeldUntil(sentAt).IsZero() {
 			return sourceStop{err: errSourceHeld}
 		}
+		if eligible := s.g.eligibility(s.req); !eligible.allows(destination) {
+			return sourceStop{err: errTargetNotEligible}
+		}
 		result, err := s.g.opts.Migrator.Migrate(ctx, source.Addr, MigrationRequest{RequestID: s.req.ID, DestinationAddr: destination.Addr, Stop: true})
 		s.g.applyNotice(source, result.Notice, sentAt, s.req.service)
 		if !errors.Is(err, ErrMigrationInProgress) || !sleep(ctx, sourceStopRetryDelay) {
