gateway: count the event being written in the read-ahead limit

The share of an event was returned when the event was dequeued, although its copy lives until it has been written: 50 streams with an event of 100 KiB each held 5 MB while the limit of 1 MiB counted 0. The share is now kept until the next dequeue or the stop, and the ID, a copy of its own, counts too.

--- a/gateway/readahead.go
+++ b/gateway/readahead.go
@@ -56,11 +56,13 @@
 	// ended, err the error that ended the stream.
 	handed *event
 	err    error
-	// size is the memory of the queue, counted by account. written counts the event that was
-	// being written when reading ahead began.
-	size    int64
-	account *bufferlimit.Account
-	written *bufferlimit.Account
+	// size is the memory of the queue and of the event that was dequeued last, counted by
+	// account. dequeued is the share of that event, whose copy lives until it has been
+	// written. written counts the event that was being written when reading ahead began.
+	size     int64
+	dequeued int64
+	account  *bufferlimit.Account
+	written  *bufferlimit.Account
 }
 
 func newReadAhead(reader *eventReader, limit *bufferlimit.Limit, maxBytes int64) *readAhead {
@@ -88,6 +90,10 @@
 func (a *readAhead) dequeue() (*event, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	// The event that was dequeued before has been written.
+	a.resize(a.size - a.dequeued)
+	a.dequeued = 0
+	a.changed.Broadcast()
 	for a.isReading && len(a.queue) == 0 {
 		a.isWaiting = true
 		a.changed.Broadcast()
@@ -100,8 +106,7 @@
 		if a.queue = a.queue[1:]; len(a.queue) == 0 {
 			a.queue = nil
 		}
-		a.resize(a.size - eventMemory(&ev))
-		a.changed.Broadcast()
+		a.dequeued = eventMemory(&ev)
 		return &ev, nil
 	}
 	if a.err != nil {
@@ -112,9 +117,9 @@
 	return ev, nil
 }
 
-func eventMemory(ev *event) int64 { return int64(len(ev.raw)) + queuedEventBytes }
+func eventMemory(ev *event) int64 { return int64(len(ev.raw)+len(ev.id)) + queuedEventBytes }
 
-// resize sets the memory of the queue, and reports false if it exceeds a limit.
+// resize sets the memory of the queue and the dequeued event, and reports false if it exceeds a limit.
 func (a *readAhead) resize(size int64) bool {
 	if size > a.maxBytes {
 		return false
--- a/gateway/readahead_test.go
+++ b/gateway/readahead_test.go
@@ -47,12 +47,17 @@
 // relay passes on all events to a client; blocks reports which events it doesn't read at
 // once.
 func relay(a *readAhead, c *slowClient, blocks func(id string) bool) error {
+	return relayEach(a, func(ev event) error { return c.write(ev, blocks(ev.id))() })
+}
+
+// relayEach passes on all events to a function that writes one.
+func relayEach(a *readAhead, write func(event) error) error {
 	for {
 		ev, err := a.next()
 		if err != nil {
 			return err
 		}
-		if err := a.write(c.write(ev, blocks(ev.id))); err != nil {
+		if err := a.write(func() error { return write(ev) }); err != nil {
 			return err
 		}
 	}
@@ -165,6 +170,77 @@
 	})
 }
 
+// Guards against memory beyond the limit of the process: the copy of an event lives until it
+// has been written, not only while it is queued, and its ID is a copy of its own.
+func TestReadAheadCountsTheEventBeingWritten(t *testing.T) {
+	const processLimit, eventBytes, streams = 1 << 20, 100 << 10, 50
+	Convey("Many streams that each write a large event hold no more than is counted", t, func() {
+		limit := bufferlimit.New(processLimit, 0)
+		text := numberedEvents(0, 2, strings.Repeat("x", eventBytes))
+		var all []*readAhead
+		var clients []*slowClient
+		relayed := make(chan error, streams)
+		var held int64
+		for range streams {
+			a := newReadAhead(newEventReader(strings.NewReader(text), newTestLimit()), limit, processLimit)
+			a.delay, a.full = time.Microsecond, func() { a.changed.Broadcast() }
+			c := newSlowClient()
+			all, clients = append(all, a), append(clients, c)
+			copied := make(chan int64, 1)
+			go func() {
+				relayed <- relayEach(a, func(ev event) error {
+					if ev.id == "1" && !ev.readAt.IsZero() {
+						copied <- int64(len(ev.raw))
+					} else if ev.id == "1" {
+						copied <- 0
+					}
+					return c.write(ev, true)()
+				})
+			}()
+			<-c.blocked
+			a.mu.Lock()
+			for len(a.queue) == 0 && !a.wasFull {
+				a.changed.Wait()
+			}
+			a.mu.Unlock()
+			c.read <- struct{}{}
+			<-c.blocked
+			held += <-copied
+			So(limit.Used(), ShouldBeGreaterThanOrEqualTo, held)
+			So(held, ShouldBeLessThanOrEqualTo, processLimit)
+		}
+		So(held, ShouldBeGreaterThan, processLimit/2)
+		for i, a := range all {
+			clients[i].read <- struct{}{}
+			So(<-relayed, ShouldEqual, io.EOF)
+			a.stop()
+			So(clients[i].received.String(), ShouldEqual, text)
+		}
+		So(limit.Used(), ShouldEqual, 0)
+	})
+	Convey("A long ID counts beside the bytes of its event", t, func() {
+		limit := bufferlimit.New(processLimit, 0)
+		// The reader takes no ID from a line that exceeds its buffer of 4 KiB.
+		const idBytes = 2 << 10
+		long := "id: " + strings.Repeat("9", idBytes) + "\ndata: x\n\n"
+		a := newReadAhead(newEventReader(strings.NewReader(numberedEvents(0, 1, "x")+long), newTestLimit()), limit, processLimit)
+		c := newSlowClient()
+		relayed := make(chan error, 1)
+		go func() { relayed <- relay(a, c, blocksAt("0")) }()
+		<-c.blocked
+		a.mu.Lock()
+		for len(a.queue) == 0 {
+			a.changed.Wait()
+		}
+		a.mu.Unlock()
+		So(limit.Used(), ShouldBeGreaterThanOrEqualTo, len(long)+idBytes)
+		close(c.read)
+		So(<-relayed, ShouldEqual, io.EOF)
+		a.stop()
+		So(limit.Used(), ShouldEqual, 0)
+	})
+}
+
 // Guards against a goroutine, and memory, that outlive a stream whose client has left.
 func TestReadAheadStops(t *testing.T) {
 	for _, size := range []int{10, 1 << 20} {
