gateway: keep copies away from targets that may have run a stream

A rerun or a migration could choose an address where the resumable stream may have run for the next copy, and a failover to it ran the same id there twice. Such addresses now get no copies. What the source keeps is freed only once an event with data or an id has been accepted, not by an event before a gap or by a comment.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -112,14 +112,15 @@
 // KV cache, and the load of each. In the load, the capacity is reduced to the
 // fraction fill of the target's KV cache. Targets in other regions are left out:
 // the link between regions is so slow that a copy does not complete in time and
-// delays the copies queued behind it.
+// delays the copies queued behind it. An address at which a resumable stream may have run is
+// left out too: a failover to the copy would run the same request there again.
 func (g *Gateway) copyCandidates(req *request, primary *registry.Target, fill float64) ([]*registry.Target, []decision.CopyTarget) {
 	now := time.Now()
 	eligible := g.eligibility(req)
 	var targets []*registry.Target
 	var candidates []decision.CopyTarget
 	for _, t := range g.targets.Snapshot().Ready(req.service.Name) {
-		if t.ID == primary.ID || !acceptsWork(t, now) || !eligible.allows(t) {
+		if t.ID == primary.ID || req.mayHaveRunAt(t.Addr) || !acceptsWork(t, now) || !eligible.allows(t) {
 			continue
 		}
 		c := decision.CopyTarget{PlacementTarget: g.placementCandidate(req, t, now)}
--- a/gateway/eligibility_test.go
+++ b/gateway/eligibility_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
 	"maps"
 	"net"
 	"slices"
@@ -26,6 +27,15 @@
 
 var testRegions = map[string]string{"a": "north", "b": "north", "c": "south", "d": "east"}
 
+// testAddr returns the address of a target, at which nothing listens: another one of the
+// loopback addresses for each ID.
+func testAddr(id string) string {
+	sum := fnv.New32a()
+	_, _ = sum.Write([]byte(id))
+	n := sum.Sum32()
+	return fmt.Sprintf("127.%d.%d.%d:1", byte(n>>16), byte(n>>8), byte(n))
+}
+
 // newEligibilityGateway returns a gateway that does not serve, with two engines in each data
 // centre and two in one that the settings do not name.
 func newEligibilityGateway(t *testing.T) *Gateway {
@@ -42,7 +52,7 @@
 		VM: "edge-1", Datacentre: "a", Regions: testRegions, TableKey: testTablePrefix, EvacuationPrefix: testEvacuationPrefix, TargetPrefix: "targets/",
 		ClientListener: listen(), ReadinessListener: listen(), PeerListener: listen(), Logger: log.NewNopLogger(),
 		DecodeTarget: func(key string, value []byte) (registry.Record, error) {
-			return registry.Record{ID: key, Addr: "127.0.0.1:1", Service: "engines", Datacentre: string(value), Slots: 8, StartMillis: 1}, nil
+			return registry.Record{ID: key, Addr: testAddr(key), Service: "engines", Datacentre: string(value), Slots: 8, StartMillis: 1}, nil
 		},
 		DecodeTable: func(data []byte) (*routing.Table, error) {
 			var limits struct {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/quetzalglade/quetzalglade/internal/bodybudget"
@@ -38,6 +40,24 @@
 	triedTargets map[string]bool
 	// sentTo holds the addresses of the targets that may have received the request.
 	sentTo map[string]bool
+	// ranAt holds the addresses of the targets that may have run a resumable stream. The map
+	// is replaced, never changed, since migrations read it beside the request's goroutine.
+	ranAt atomic.Pointer[map[string]bool]
+}
+
+// mayHaveRunAt reports whether a resumable stream may have run at an address.
+func (r *request) mayHaveRunAt(addr string) bool {
+	ranAt := r.ranAt.Load()
+	return ranAt != nil && (*ranAt)[addr]
+}
+
+// recordRunAt records that a resumable stream may have run at an address.
+func (r *request) recordRunAt(addr string) {
+	ranAt := map[string]bool{addr: true}
+	if before := r.ranAt.Load(); before != nil {
+		maps.Copy(ranAt, *before)
+	}
+	r.ranAt.Store(&ranAt)
 }
 
 func (r *request) remaining(now time.Time) time.Duration { return r.deadline.Sub(now) }
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -14,10 +14,8 @@
 // resumption is what a resumable stream needs in order to run again at another target after
 // a break.
 type resumption struct {
-	// runs is the number of targets that may have run the request, ranAt holds their
-	// addresses.
-	runs  int
-	ranAt map[string]bool
+	// runs is the number of targets that may have run the request.
+	runs int
 	// unnumbered is set once the client has received data in an event without a numeric ID:
 	// no target can continue after such an event.
 	unnumbered bool
@@ -67,10 +65,7 @@
 	if !s.req.route.Resumable {
 		return
 	}
-	if s.resumption.ranAt == nil {
-		s.resumption.ranAt = map[string]bool{}
-	}
-	s.resumption.ranAt[seg.target.Addr] = true
+	s.req.recordRunAt(seg.target.Addr)
 	clear(s.req.triedTargets)
 }
 
@@ -128,12 +123,12 @@
 func (s *streamRequest) placeRerun(ctx context.Context) *registry.Target {
 	for {
 		for _, t := range s.g.targets.Snapshot().Ready(s.req.service.Name) {
-			if s.resumption.ranAt[t.Addr] {
+			if s.req.mayHaveRunAt(t.Addr) {
 				s.req.triedTargets[t.ID] = true
 			}
 		}
 		t := s.placeSoon(ctx)
-		if t == nil || !s.resumption.ranAt[t.Addr] {
+		if t == nil || !s.req.mayHaveRunAt(t.Addr) {
 			return t
 		}
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -315,7 +315,6 @@
 			return err
 		}
 		load.setPrefillPending(false)
-		s.freeKept()
 		s.recordSound(seg, false, ev.readAt)
 		if s.isRepeated(ev) {
 			continue
@@ -323,6 +322,10 @@
 		if err := s.checkGap(seg, ev); err != nil {
 			return err
 		}
+		if ev.id != "" || ev.hasData {
+			// Not before: a comment doesn't show where the target continues.
+			s.freeKept()
+		}
 		s.sendHeader(at.resp)
 		flush := !events.hasMore()
 		if err := events.write(func() error { return s.writeEvent(ev, flush) }); err != nil {
