decision, gateway, sidecar: limit the requests to cold targets

A target that has just started, or turns cold, crashes well above the rate cold_per_s of its service, and nothing limited what all gateways send to it together. A reservation without an answer counted as granted.

The sidecar asks its engine how long it stays cold and counts the grants of all gateways. Without its answer, a gateway sends to a cold target only within its share, by rendezvous hashing among the members. The check stands in startAttempt, before each send.

--- a/cmd/quetzalglade-gateway/main.go
+++ b/cmd/quetzalglade-gateway/main.go
@@ -44,10 +44,15 @@
 		opts.SidecarWatcher = sidecar.NewClient(httpclient.New(httpclient.Options{IdlePerHost: 2}))
 	}
 	opts.PeerClient = httpclient.New(httpclient.Options{IdlePerHost: 1})
-	opts.Migrator = platform.NewEngineClient(httpclient.New(httpclient.Options{IdlePerHost: 2}), s.Store.Timeout)
+	engines := platform.NewEngineClient(httpclient.New(httpclient.Options{IdlePerHost: 2}), s.Store.Timeout)
+	opts.Migrator, opts.ColdProber = engines, engines
 	if opts.LinkMbps == 0 {
 		opts.LinkMbps = platform.LinkMbps()
 	}
+	var overValid, slackValid bool
+	opts.ColdOver, overValid = platform.ColdOver()
+	opts.ColdSlack, slackValid = platform.ColdSlack()
+	opts.ColdSettingsIgnored = !overValid || !slackValid
 	opts.Codec = platform.Codec{}
 	opts.ReadyPath = platform.ReadyPath
 	opts.TableKey = platform.ConfigKey
--- a/feed/hub.go
+++ b/feed/hub.go
@@ -59,6 +59,14 @@
 	return &Hub{items: map[string]kvstore.KV{}, deletions: map[string]int64{}, changed: make(chan struct{})}
 }
 
+// StateAge returns the time since the state was last read from the store, by this process
+// or by the process that it came from.
+func (h *Hub) StateAge(now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return now.Sub(h.syncedAt)
+}
+
 // Subscribe adds a follower of the keys under a prefix. It must be called
 // before the hub receives its first keys.
 func (h *Hub) Subscribe(prefix string, f kvstore.Follower) {
--- a/feed/members.go
+++ b/feed/members.go
@@ -44,6 +44,10 @@
 	mu sync.Mutex
 	// members maps store keys to registered processes, this one included.
 	members map[string]Member
+	// listedSince is when this process was first in members without a break, zero if it is
+	// not. renewedAt is when the last successful renewal began.
+	listedSince time.Time
+	renewedAt   time.Time
 }
 
 // NewMemberRegistry returns a registry without other processes.
@@ -59,6 +63,7 @@
 	for i := range kvs {
 		r.put(&kvs[i])
 	}
+	r.updateListed()
 }
 
 // Apply implements kvstore.Follower.
@@ -73,6 +78,47 @@
 		}
 		r.put(&e.KV)
 	}
+	r.updateListed()
+}
+
+// updateListed updates listedSince. Callers hold the lock.
+func (r *MemberRegistry) updateListed() {
+	if _, listed := r.members[MemberPrefix+r.self.Name]; !listed {
+		r.listedSince = time.Time{}
+	} else if r.listedSince.IsZero() {
+		r.listedSince = time.Now()
+	}
+}
+
+// Timing of a settled membership.
+const (
+	// settleTime is the time after the registration of a process until every other process
+	// that reads recent state lists it, and until it lists those that registered with it.
+	settleTime = 3 * time.Second
+	// maxRenewalAge is the age of the last renewal up to which the other processes
+	// certainly list this one. It is shorter than leaseTTL by a margin for clock rates.
+	maxRenewalAge = leaseTTL - 2*time.Second
+)
+
+// Settled returns the names of the known processes, this one included. It returns false
+// unless all other processes know this one.
+func (r *MemberRegistry) Settled(now time.Time) ([]string, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.listedSince.IsZero() || now.Sub(r.listedSince) < settleTime || now.Sub(r.renewedAt) > maxRenewalAge {
+		return nil, false
+	}
+	names := make([]string, 0, len(r.members))
+	for _, m := range r.members {
+		names = append(names, m.Name)
+	}
+	return names, true
+}
+
+func (r *MemberRegistry) markRenewed(at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.renewedAt = at
 }
 
 // Disconnected implements kvstore.Follower. The registry keeps its members while
@@ -205,8 +251,12 @@
 // renew extends the lease. Without a lease, or if it has expired, it registers
 // this process under a new one.
 func (r *MemberRegistry) renew(ctx context.Context, lease *int64) error {
+	startedAt := time.Now()
 	if *lease != 0 {
 		remaining, err := r.store.KeepAlive(ctx, *lease)
+		if err == nil && remaining > 0 {
+			r.markRenewed(startedAt)
+		}
 		if err != nil || remaining > 0 {
 			return err
 		}
@@ -225,6 +275,7 @@
 		return err
 	}
 	*lease = granted
+	r.markRenewed(startedAt)
 	telemetry.Info(r.logger, "registered", "member", r.self.Name, "lease", granted)
 	return nil
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -268,6 +268,9 @@
 	}
 	at.conn = conn
 	at.stopCloseOnDone = conn.CloseOnDone(ctx)
+	if err := g.allowCold(ctx, req, t); err != nil {
+		return at, err
+	}
 	// The target's state may have changed while the connection was opened.
 	if err := checkStart(t, a.Resume != nil, time.Now()); err != nil {
 		return at, err
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -34,7 +34,7 @@
 	req.triedTargets = map[string]bool{}
 	var last outcome
 	executions := 0
-	for n := range maxDispatches {
+	for n := 0; n < maxDispatches; n++ {
 		if !req.body.Reuse() {
 			telemetry.Info(g.opts.Logger, "retry", "request", req.ID, "route", req.route.Name, "after", last.describe(), "allowed", "body dropped", "ran", executions)
 			break
@@ -53,8 +53,13 @@
 		if n > 0 && last.sent && !g.mayRetry(req, last, executions) {
 			break
 		}
+		repeated := req.triedTargets[t.ID]
 		req.triedTargets[t.ID] = true
 		last = g.dispatchCall(ctx, req, t)
+		if errors.Is(last.err, errTargetCold) && !repeated {
+			// Another target may be warm.
+			n--
+		}
 		if last.sent && !last.notRun {
 			executions++
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -67,6 +67,14 @@
 	RetryRatio   float64
 	RetryReserve float64
 	RetryWindow  time.Duration
+	// ColdOver and ColdSlack bound the requests that a cold target gets in a second from
+	// all gateways: its rate times ColdOver plus ColdSlack. ColdSettingsIgnored is set if
+	// a value that was set for one of them is out of range.
+	ColdOver            float64
+	ColdSlack           float64
+	ColdSettingsIgnored bool
+	// ColdProber asks engines whose sidecars do not answer; nil if they cannot be asked.
+	ColdProber ColdProber
 	// BalancerGrace is the time after a stop signal in which requests are still
 	// accepted, DrainLimit the maximum duration of the whole stop.
 	BalancerGrace time.Duration
@@ -170,6 +178,10 @@
 
 // Serve runs the gateway until ctx ends, then stops gracefully.
 func (g *Gateway) Serve(ctx context.Context) error {
+	if g.opts.ColdSettingsIgnored {
+		g.metrics.recordIgnored("cold settings")
+		telemetry.Warn(g.opts.Logger, "invalid cold settings ignored", "cold_over", g.opts.ColdOver, "cold_slack", g.opts.ColdSlack)
+	}
 	telemetry.Info(g.opts.Logger, "start", "front", g.opts.ClientListener.Addr().String(), "datacentre", g.opts.Datacentre)
 	controlCtx, cancelControl := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancelControl()
@@ -344,6 +356,10 @@
 	if current := g.table.Load(); current != nil && current.Version >= table.Version {
 		return true
 	}
+	if services := table.InheritCold(g.table.Load()); len(services) > 0 {
+		g.metrics.recordIgnored("cold configuration")
+		telemetry.Warn(g.opts.Logger, "invalid cold values of services ignored", "services", services, "config_version", table.Version)
+	}
 	source, stateAge := g.feedSource.Current()
 	telemetry.Info(g.opts.Logger, "configuration in force", "config_version", table.Version, "before", g.configVersion(), "revision", kv.ModRevision,
 		"source", source, "state_age_ms", stateAge.Milliseconds(), "bytes", len(kv.Value))
--- a/gateway/holdback.go
+++ b/gateway/holdback.go
@@ -145,15 +145,18 @@
 	if err != nil {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	askedAt := time.Now()
+	reserveCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
-	result, err := s.g.opts.SidecarWatcher.Reserve(ctx, addr, &sidecar.Reservation{
+	result, err := s.g.opts.SidecarWatcher.Reserve(reserveCtx, addr, &sidecar.Reservation{
 		RequestID: s.req.ID, PromptTokens: s.work.PromptTokens, KVTokens: s.work.KVTokens, MaxPrefillTokens: maxPrefill, MaxKVTokens: maxKVTokens,
+		ColdPerSecond: s.g.coldLimit(s.req.service).PerSecond,
 	})
 	if err != nil {
 		telemetry.Info(s.g.opts.Logger, "reservation failed", "request", s.req.ID, "target", t.ID, "err", err)
-		return true
+		return s.g.allowWithoutSidecar(ctx, s.req, t)
 	}
+	s.g.applyColdResult(s.req, t, &result, askedAt)
 	if result.Report != nil && !result.Granted {
 		t.Load.RaiseBacklog(result.Report.PrefillTokens)
 	}
--- a/gateway/loadcollector.go
+++ b/gateway/loadcollector.go
@@ -140,6 +140,7 @@
 			continue
 		}
 		t.Load.SetReport(loadFromReport(report))
+		c.g.applyCold(t, report.ColdMillis)
 		if report.Draining && report.LeavesInMillis > 0 && t.Load.LeavesAt().IsZero() {
 			t.Load.SetLeavesAt(time.Now().Add(time.Duration(report.LeavesInMillis) * time.Millisecond))
 		}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -18,6 +18,9 @@
 	attempts        metric.Int64Counter
 	holds           metric.Int64Counter
 	sourceStops     metric.Int64Counter
+	coldGrants      metric.Int64Counter
+	coldDenials     metric.Int64Counter
+	ignored         metric.Int64Counter
 	firstByte       metric.Float64Histogram
 	requestDuration metric.Float64Histogram
 }
@@ -37,6 +40,9 @@
 		attempts:        base.Counter("attempts", "Attempts at targets by service and outcome."),
 		holds:           base.Counter("target_holds", "Times that a target turned a request away and wanted no further ones for some time, by service."),
 		sourceStops:     base.Counter("source_stops", "Calls that stop a request at its source before it continues elsewhere, by service and whether the source confirmed the stop."),
+		coldGrants:      base.Counter("cold_grants", "Requests that were allowed to cold targets, by service and by who allowed them: sidecar or share."),
+		coldDenials:     base.Counter("cold_denials", "Requests that were not sent to a cold target, by service and by who denied them: sidecar or share."),
+		ignored:         base.Counter("ignored_values", "Values out of range that were ignored, by where they stood."),
 		firstByte:       base.DurationHistogram("first_byte", "Time to the first byte of a target's answer.", latencyBounds...),
 		requestDuration: base.DurationHistogram("request", "Time to the end of an answer.", latencyBounds...),
 	}
@@ -58,6 +64,18 @@
 	m.holds.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
 }
 
+func (m *metrics) recordCold(service, by string, granted bool) {
+	counter := m.coldDenials
+	if granted {
+		counter = m.coldGrants
+	}
+	counter.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("by", by)))
+}
+
+func (m *metrics) recordIgnored(where string) {
+	m.ignored.Add(context.Background(), 1, metric.WithAttributes(attribute.String("where", where)))
+}
+
 func (m *metrics) recordSourceStop(service string, confirmed bool) {
 	m.sourceStops.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.Bool("confirmed", confirmed)))
 }
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -29,7 +29,7 @@
 // acceptsWork reports whether a target may be chosen for new work. It uses the state of
 // the target's load, which changes before the next snapshot of the registry.
 func acceptsWork(t *registry.Target, now time.Time) bool {
-	return !t.Load.IsLeaving() && t.Load.HeldUntil(now).IsZero()
+	return !t.Load.IsLeaving() && t.Load.HeldUntil(now).IsZero() && !t.Load.IsColdDenied(now)
 }
 
 // checkStart returns an error if the target must not get a request now. If it returns nil,
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -101,6 +101,10 @@
 		if ctx.Err() != nil {
 			break
 		}
+		if errors.Is(err, errTargetCold) {
+			// Another target may be warm. The choice leaves out those that were tried.
+			n--
+		}
 		next = s.nextSegment(ctx, seg, segResult, n)
 		if segResult == segmentBroken && next == nil {
 			s.fail(ctx, seg.target, err)
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -45,9 +45,17 @@
 	// Since is when this process first observed the target in this state.
 	Since time.Time
 	Load  *Load
-	key   string
+	// coldUntil is when the target is warm according to its entry, and entryRevision the
+	// revision of that entry.
+	coldUntil     time.Time
+	entryRevision int64
+	key           string
 }
 
+// ColdUntil returns the time until which the target may be cold. It is in the past for a
+// target that is known to be warm.
+func (t *Target) ColdUntil(now time.Time) time.Time { return t.Load.coldUntil(now, t.coldUntil) }
+
 // Load is the load of a target: the work that this process has in progress
 // there and the last load report of the target's engine. It is safe for
 // concurrent use.
@@ -72,6 +80,13 @@
 	// process knows that.
 	departing atomic.Bool
 	announced atomic.Bool
+	// cold is what the sidecar has stated, coldGrants counts the requests that this process
+	// sent within its share while the target was cold. coldDeniedUntil is when the
+	// target may have room again.
+	cold            decision.ColdState
+	coldGrants      decision.RateWindow
+	coldDeniedUntil time.Time
+	oddColdLogged   atomic.Bool
 }
 
 // LoadReport is a load report of an engine.
@@ -128,6 +143,66 @@
 	return report
 }
 
+// SetCold records the word of the target's sidecar that the target stays cold for the given
+// time.
+func (l *Load) SetCold(now time.Time, remaining time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cold.SetWord(now, remaining)
+}
+
+// HasColdWord reports whether the target's sidecar has recently stated how long the target
+// stays cold.
+func (l *Load) HasColdWord(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cold.HasRecentWord(now)
+}
+
+// HadColdWord reports whether the target's sidecar has ever stated how long the target
+// stays cold.
+func (l *Load) HadColdWord() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cold.HadWord()
+}
+
+func (l *Load) coldUntil(now, entryUntil time.Time) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cold.Until(now, entryUntil)
+}
+
+// TakeColdShare counts a request to the cold target if it stays within the share of this
+// process, and reports whether it does.
+func (l *Load) TakeColdShare(now time.Time, share int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.coldGrants.Allows(now, share) {
+		return false
+	}
+	l.coldGrants.Record(now)
+	return true
+}
+
+// DenyCold records that the cold target takes no further request until the given time.
+func (l *Load) DenyCold(until time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.coldDeniedUntil = until
+}
+
+// IsColdDenied reports whether the cold target takes no request now.
+func (l *Load) IsColdDenied(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Before(l.coldDeniedUntil)
+}
+
+// IsFirstOddCold reports whether this is the first call, for a log line about an odd word
+// of the sidecar.
+func (l *Load) IsFirstOddCold() bool { return !l.oddColdLogged.Swap(true) }
+
 // RaiseBacklog raises the number of prompt tokens to be prefilled in the load report.
 func (l *Load) RaiseBacklog(prefillTokens int) {
 	report := l.lastReport.Load()
--- a/routing/table.go
+++ b/routing/table.go
@@ -111,6 +111,13 @@
 	MaxConnections int
 	// Engine is nil if the targets of the service are not inference engines.
 	Engine *Engine
+	// ColdStart is how long a target is cold after it starts during traffic, ColdPerSecond
+	// the requests per second that a cold target can handle; 0 means no limit.
+	ColdStart     time.Duration
+	ColdPerSecond float64
+	// ColdIgnored is set if a value of ColdStart or ColdPerSecond in the configuration is
+	// out of range.
+	ColdIgnored bool
 }
 
 // Workspace is a tenant that sends requests. Its API keys identify it.
@@ -172,6 +179,27 @@
 	return t
 }
 
+// InheritCold replaces the cold figures of the services whose own ones are out of range by
+// those of the previous table, and returns the names of these services. It must be called
+// before the table is in use. previous may be nil.
+func (t *Table) InheritCold(previous *Table) []string {
+	var names []string
+	for name, s := range t.services {
+		if !s.ColdIgnored {
+			continue
+		}
+		names = append(names, name)
+		if previous == nil {
+			continue
+		}
+		if before := previous.services[name]; before != nil {
+			s.ColdStart, s.ColdPerSecond = before.ColdStart, before.ColdPerSecond
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
 func (t *Table) addUrgent(r *Route) {
 	if r.Kind != Stream || r.TargetLatency == 0 {
 		return
--- a/sidecar/notice_test.go
+++ b/sidecar/notice_test.go
@@ -25,6 +25,8 @@
 	return Report{}, e.err
 }
 
+func (e *countingEngine) Cold(context.Context, string) (time.Duration, error) { return 0, e.err }
+
 func (e *countingEngine) Slowdown(context.Context, string) (float64, error) { return 0, e.err }
 
 // Guards against polls of an engine that has stated for how long it wants no requests, and
--- a/sidecar/report.go
+++ b/sidecar/report.go
@@ -50,6 +50,8 @@
 	// at the reference speed, without the influence of other load on its host;
 	// 0 if unknown.
 	BaselineSlowdown float64 `json:"usual,omitempty"`
+	// ColdMillis is how long the engine stays cold, in milliseconds; nil if unknown.
+	ColdMillis *int64 `json:"cold_ms,omitempty"`
 	// Requests are the running requests that have generated an event.
 	Requests []RunningRequest `json:"runs,omitempty"`
 }
--- a/sidecar/reserve.go
+++ b/sidecar/reserve.go
@@ -28,6 +28,10 @@
 	// granted, MaxKVTokens the largest use of the KV cache with the request.
 	MaxPrefillTokens int `json:"max_backlog"`
 	MaxKVTokens      int `json:"max_memory"`
+	// ColdPerSecond is the rate of requests that a cold engine can handle, 0 for no limit.
+	ColdPerSecond float64 `json:"cold_per_s,omitempty"`
+	// ColdOnly asks only for a grant within ColdPerSecond and reserves nothing.
+	ColdOnly bool `json:"cold_only,omitempty"`
 }
 
 // ReservationResult is the response to a Reservation. Report is the engine's load, nil if
@@ -35,6 +39,10 @@
 type ReservationResult struct {
 	Granted bool    `json:"granted"`
 	Report  *Report `json:"report,omitempty"`
+	// ColdMillis is how long the engine stays cold, in milliseconds; nil if unknown.
+	ColdMillis *int64 `json:"cold_ms,omitempty"`
+	// ColdDenied is set if the reservation is denied because of ColdPerSecond.
+	ColdDenied bool `json:"cold_denied,omitempty"`
 }
 
 // Limits of the messages about reservations.
@@ -77,14 +85,24 @@
 func (s *Sidecar) reserve(in *Reservation) ReservationResult {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now()
+	result := ReservationResult{ColdMillis: s.cold.remainingMillis(now)}
 	if s.latest.Report == nil {
-		return ReservationResult{}
+		return result
 	}
 	report := *s.latest.Report
-	granted := !report.Draining && s.reservations.TryReserve(time.Now(), in.RequestID, in.PromptTokens, in.KVTokens, in.MaxPrefillTokens, in.MaxKVTokens)
+	result.ColdDenied = !s.cold.allows(now, in.ColdPerSecond)
+	result.Granted = !result.ColdDenied && (in.ColdOnly || !report.Draining &&
+		s.reservations.TryReserve(now, in.RequestID, in.PromptTokens, in.KVTokens, in.MaxPrefillTokens, in.MaxKVTokens))
+	if result.Granted {
+		// Grants of a warm engine count too: it may turn cold within the span.
+		s.cold.grants.Record(now)
+	}
 	report.PrefillTokens = s.reservations.PrefillTokens()
 	report.Requests = nil
-	return ReservationResult{Granted: granted, Report: &report}
+	report.ColdMillis = result.ColdMillis
+	result.Report = &report
+	return result
 }
 
 // Reserve reserves at the sidecar at addr.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -27,6 +27,8 @@
 	// Slowdown returns the factor by which the engine's work currently takes
 	// longer than at the reference speed.
 	Slowdown(ctx context.Context, addr string) (float64, error)
+	// Cold returns how long the engine stays cold. A value out of range is ErrOddCold.
+	Cold(ctx context.Context, addr string) (time.Duration, error)
 }
 
 // Options configures a Sidecar.
@@ -56,6 +58,7 @@
 	latest Line
 	// reservations is the account of the work that gateways send to the engine.
 	reservations decision.Reservations
+	cold         coldEngine
 	// changed is closed and replaced when watchers must be notified at once.
 	changed chan struct{}
 
@@ -87,7 +90,10 @@
 
 // New returns a sidecar that is not yet serving.
 func New(opts Options) *Sidecar {
-	return &Sidecar{opts: opts, latest: Line{EngineUnreachable: true}, changed: make(chan struct{})}
+	return &Sidecar{
+		opts: opts, latest: Line{EngineUnreachable: true}, changed: make(chan struct{}),
+		cold: coldEngine{grants: decision.NewRateWindow(time.Now())},
+	}
 }
 
 // stopTimeout limits how long a stop waits for open streams.
@@ -104,6 +110,7 @@
 	}})
 	supervisor.Add(httpserve.New("watch", s.opts.Listener, mux, stopTimeout))
 	supervisor.Add(&poller{s: s})
+	supervisor.Add(&coldPoller{s: s})
 	err := supervisor.Serve(ctx)
 	telemetry.Info(s.opts.Logger, "stop")
 	if ctx.Err() != nil {
@@ -158,6 +165,8 @@
 	}
 	if line.Report != nil {
 		s.observe(line.Report, time.Now())
+		s.cold.setIncarnation(line.Report.StartMillis)
+		line.Report.ColdMillis = s.cold.remainingMillis(time.Now())
 	}
 	s.latest = line
 	stateChanged := engineChanged(&previous, &line)
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -20,6 +20,20 @@
 	report    Report
 	err       error
 	slowdowns []float64
+	cold      time.Duration
+	coldErr   error
+}
+
+func (e *fakeEngine) setCold(d time.Duration, err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cold, e.coldErr = d, err
+}
+
+func (e *fakeEngine) Cold(context.Context, string) (time.Duration, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cold, e.coldErr
 }
 
 func (e *fakeEngine) set(r Report, err error) {
