--- a/internal/platformtest/worker.go
+++ b/internal/platformtest/worker.go
@@ -124,6 +124,39 @@
 	// empty.
 	crashPart string
 	workers   *WorkerSet
+	// coldText is the value of the header X-Cold-Ms if coldUntil is not set, without the
+	// header if empty. coldUntil is when the worker is warm.
+	coldText  string
+	coldUntil time.Time
+}
+
+// SetCold makes the worker state in the responses of its health endpoint that it stays
+// cold for the given time. It does not change its entry.
+func (w *Worker) SetCold(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.coldUntil = time.Now().Add(d)
+}
+
+// SetColdText sets the value of the header X-Cold-Ms in the responses of the health endpoint.
+func (w *Worker) SetColdText(text string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.coldText, w.coldUntil = text, time.Time{}
+}
+
+// health serves the health endpoint.
+func (w *Worker) health(rw http.ResponseWriter) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	rw.Header().Set("X-Server-Load", "0,0,4,100")
+	switch {
+	case !w.coldUntil.IsZero():
+		rw.Header().Set("X-Cold-Ms", strconv.FormatInt(max(time.Until(w.coldUntil), 0).Milliseconds(), 10))
+	case w.coldText != "":
+		rw.Header().Set("X-Cold-Ms", w.coldText)
+	}
+	rw.WriteHeader(http.StatusOK)
 }
 
 // streamRun is the generation of a stream by one worker.
@@ -212,9 +245,18 @@
 // StoreEntryOf is like StoreEntry for the incarnation with the given start time, in Unix
 // milliseconds.
 func (w *Worker) StoreEntryOf(service, zone, state string, startMillis int64) []byte {
+	return w.storeEntry(service, zone, state, startMillis, 0)
+}
+
+// ColdStoreEntry is like StoreEntry for a ready worker that stays cold for the given time.
+func (w *Worker) ColdStoreEntry(service, zone string, cold time.Duration) []byte {
+	return w.storeEntry(service, zone, "ready", 1, cold)
+}
+
+func (w *Worker) storeEntry(service, zone, state string, startMillis int64, cold time.Duration) []byte {
 	data, err := json.Marshal(map[string]any{
 		"service": service, "address": w.Addr(), "zone": zone, "version": "v1", "slots": 4, "state": state,
-		"cold_remaining_ms": 0, "seq_no": 1, "born": startMillis,
+		"cold_remaining_ms": cold.Milliseconds(), "seq_no": 1, "born": startMillis,
 	})
 	if err != nil {
 		panic(err)
@@ -444,6 +486,10 @@
 }
 
 func (w *Worker) serve(rw http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/healthz" {
+		w.health(rw)
+		return
+	}
 	if r.URL.Path == "/v1/kv-move" {
 		w.migrate(rw, r)
 		return
