--- a/decision/coldrate_test.go
+++ b/decision/coldrate_test.go
@@ -321,12 +321,13 @@
 	s.sendWithout(g, x)
 }
 
-// sendWithout sends a request without the grant of a sidecar. If the sidecar has answered
-// before, the gateway asks the target whether it is cold.
+// sendWithout sends a request without the grant of a sidecar. The gateway asks the target
+// whether it is cold, unless its entry says so or the service has no sidecars.
 func (s *coldSim) sendWithout(g *simGateway, x *simTarget) {
 	i := s.index(x)
-	if !g.cold[i].HadWord() {
-		s.sendByShare(g, x, g.cold[i].Until(s.now, g.entryUntil[i]).After(s.now))
+	entryCold := g.cold[i].Until(s.now, g.entryUntil[i]).After(s.now)
+	if !s.sidecars || entryCold && !g.cold[i].HadWord() {
+		s.sendByShare(g, x, entryCold)
 		return
 	}
 	askedAt := s.now
@@ -471,9 +472,39 @@
 // is a steady one of 40 requests per second and target, then a burst of 400 per second and
 // target over ten seconds.
 func TestColdTargetsUnderBurst(t *testing.T) {
-	const coldTime = 10 * time.Second
-	scenarios := map[string]func(s *coldSim){
-		"data centre returns at once": func(s *coldSim) {
+	scenarios := coldScenarios()
+	for name, begin := range scenarios {
+		for _, gateways := range []int{25, 390} {
+			convey.Convey(fmt.Sprintf("%s, %d gateways", name, gateways), t, func() {
+				for seed := range uint64(2) {
+					s := newColdSim(seed, gateways, 6, true)
+					s.runUntil(s.now.Add(6 * time.Second))
+					if name != returnScenario {
+						s.load(40*6, s.now.Add(2*time.Second))
+						s.runUntil(s.now.Add(2 * time.Second))
+					}
+					begin(s)
+					s.after(0, func() { s.load(400*6, s.now.Add(coldTime)) })
+					s.runUntil(s.now.Add(coldTime + time.Second))
+					convey.So(s.largest(), convey.ShouldBeLessThanOrEqualTo, 47)
+					// A limit that lets nothing pass would hold too.
+					convey.So(s.arrivals(), convey.ShouldBeGreaterThan, 6*40)
+				}
+			})
+		}
+	}
+}
+
+// coldTime is how long targets stay cold in the scenarios.
+const coldTime = 10 * time.Second
+
+// returnScenario begins without load before it.
+const returnScenario = "data centre returns at once"
+
+// coldScenarios returns what begins when the targets turn cold, by description.
+func coldScenarios() map[string]func(s *coldSim) {
+	return map[string]func(s *coldSim){
+		returnScenario: func(s *coldSim) {
 			for _, x := range s.targets {
 				// The entries precede the first request to the new incarnation.
 				x.up, x.coldUntil = false, s.now.Add(coldTime)
@@ -508,7 +539,7 @@
 				s.after(time.Duration(i)*1500*time.Millisecond, func() {
 					g := s.gateways[i]
 					g.listedSince, g.renewed, g.view = time.Time{}, time.Time{}, nil
-					g.shares = make([]RateWindow, len(s.targets))
+					g.shares, g.cold = make([]RateWindow, len(s.targets)), make([]ColdState, len(s.targets))
 				})
 			}
 		},
@@ -522,26 +553,6 @@
 			}
 		},
 	}
-	for name, begin := range scenarios {
-		for _, gateways := range []int{25, 390} {
-			convey.Convey(fmt.Sprintf("%s, %d gateways", name, gateways), t, func() {
-				for seed := range uint64(2) {
-					s := newColdSim(seed, gateways, 6, true)
-					s.runUntil(s.now.Add(6 * time.Second))
-					if name != "data centre returns at once" {
-						s.load(40*6, s.now.Add(2*time.Second))
-						s.runUntil(s.now.Add(2 * time.Second))
-					}
-					begin(s)
-					s.after(0, func() { s.load(400*6, s.now.Add(coldTime)) })
-					s.runUntil(s.now.Add(coldTime + time.Second))
-					convey.So(s.largest(), convey.ShouldBeLessThanOrEqualTo, 47)
-					// A limit that lets nothing pass would hold too.
-					convey.So(s.arrivals(), convey.ShouldBeGreaterThan, 6*40)
-				}
-			})
-		}
-	}
 }
 
 // Guards against more requests than the limit to a target that turns cold at any moment
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -128,13 +128,16 @@
 	}
 }
 
-// mayBeCold reports whether a target may be cold whose sidecar does not answer. If the
-// sidecar has answered before, the target itself is asked: it may have turned cold since. A
-// target that does not answer may be cold. Without a sidecar, the entry decides.
+// mayBeCold reports whether a target may be cold whose sidecar does not answer. The target
+// itself is asked: it may have turned cold since its sidecar's last word or since its entry
+// was written. A target that does not answer may be cold. The entry decides for a service
+// without sidecars; it also counts if the sidecar has never answered, since the engine may
+// not state how long it stays cold.
 func (g *Gateway) mayBeCold(ctx context.Context, req *request, t *registry.Target) bool {
-	if !g.hasSidecars(req.service) || !t.Load.HadColdWord() || g.opts.ColdProber == nil {
-		now := time.Now()
-		return t.ColdUntil(now).After(now)
+	now := time.Now()
+	entryCold := t.ColdUntil(now).After(now)
+	if !g.hasSidecars(req.service) || g.opts.ColdProber == nil || entryCold && !t.Load.HadColdWord() {
+		return entryCold
 	}
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
--- /dev/null
+++ b/registry/cold_test.go
@@ -0,0 +1,40 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/quetzalglade/quetzalglade/kvstore"
+)
+
+// Guards against an entry that is read again and makes a target cold anew, and against a
+// later entry whose cold time counts from the target's first one.
+func TestColdTimeOfAnEntry(t *testing.T) {
+	k, now := newTestKeeper(t)
+	start := *now
+	decodeRecord := k.decode
+	warmUp := 10 * time.Second
+	k.decode = func(key string, value []byte) (Record, error) {
+		r, err := decodeRecord(key, value)
+		r.WarmUp = warmUp
+		return r, err
+	}
+	read := func(revision int64, at time.Duration) time.Duration {
+		k.updates <- func() { *now = start.Add(at) }
+		k.Reset([]kvstore.KV{{Key: "a", Value: []byte("s,ready,1"), ModRevision: revision}}, revision)
+		k.flush()
+		return k.Snapshot().Target("a").ColdUntil(start).Sub(start)
+	}
+	convey.Convey("The cold time counts from the first reading of each version of the entry", t, func() {
+		convey.So(read(1, 0), convey.ShouldEqual, 10*time.Second)
+		convey.So(read(1, 5*time.Second), convey.ShouldEqual, 10*time.Second)
+		convey.So(read(2, 60*time.Second), convey.ShouldEqual, 70*time.Second)
+	})
+	convey.Convey("The recent word of a sidecar takes precedence", t, func() {
+		target := k.Snapshot().Target("a")
+		target.Load.SetCold(start.Add(time.Minute), 0)
+		convey.So(target.ColdUntil(start.Add(time.Minute)).After(start.Add(time.Minute)), convey.ShouldBeFalse)
+	})
+}
