--- a/registry/keeper.go
+++ b/registry/keeper.go
@@ -190,10 +190,10 @@
 	if previous.State == Draining {
 		record.State = Draining
 	}
-	t := &Target{Record: record, Since: previous.Since, Load: previous.Load, coldUntil: previous.coldUntil, entryRevision: kv.ModRevision, key: kv.Key}
+	t := &Target{Record: record, Since: previous.Since, Load: previous.Load, entryRevision: kv.ModRevision, key: kv.Key}
 	// The same entry may be read again, with the time that remained when it was written.
 	if kv.ModRevision != previous.entryRevision {
-		t.coldUntil = k.now().Add(record.WarmUp)
+		t.Load.setEntryCold(k.now().Add(record.WarmUp))
 	}
 	k.targets[record.ID] = t
 	if record.State == Draining && previous.State == Ready {
@@ -248,7 +248,8 @@
 }
 
 func (k *Keeper) add(kv *kvstore.KV, record Record) {
-	t := &Target{Record: record, Since: k.now(), Load: newLoad(), coldUntil: k.now().Add(record.WarmUp), entryRevision: kv.ModRevision, key: kv.Key}
+	t := &Target{Record: record, Since: k.now(), Load: newLoad(), entryRevision: kv.ModRevision, key: kv.Key}
+	t.Load.setEntryCold(k.now().Add(record.WarmUp))
 	k.targets[record.ID] = t
 	telemetry.Info(k.logger, "target added", "target", record.ID, "addr", record.Addr, "service", record.Service,
 		"datacentre", record.Datacentre, "draining", record.State == Draining, "warming_ms", record.WarmUp.Milliseconds(), "revision", kv.ModRevision)
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -45,16 +45,14 @@
 	// Since is when this process first observed the target in this state.
 	Since time.Time
 	Load  *Load
-	// coldUntil is when the target is warm according to its entry, and entryRevision the
-	// revision of that entry.
-	coldUntil     time.Time
+	// entryRevision is the revision of the target's entry.
 	entryRevision int64
 	key           string
 }
 
 // ColdUntil returns the time until which the target may be cold. It is in the past for a
 // target that is known to be warm.
-func (t *Target) ColdUntil(now time.Time) time.Time { return t.Load.coldUntil(now, t.coldUntil) }
+func (t *Target) ColdUntil(now time.Time) time.Time { return t.Load.coldUntil(now) }
 
 // Load is the load of a target: the work that this process has in progress
 // there and the last load report of the target's engine. It is safe for
@@ -80,6 +78,9 @@
 	// process knows that.
 	departing atomic.Bool
 	announced atomic.Bool
+	// entryColdUntil is when the target is warm according to its entry. It is here, not in
+	// Target, since a stream keeps the Target of its backup while later entries arrive.
+	entryColdUntil time.Time
 	// cold is what the sidecar has stated, coldGrants counts the requests that this process
 	// sent within its share while the target was cold. coldDeniedUntil is when the
 	// target may have room again.
@@ -167,10 +168,16 @@
 	return l.cold.HadWord()
 }
 
-func (l *Load) coldUntil(now, entryUntil time.Time) time.Time {
+func (l *Load) coldUntil(now time.Time) time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.cold.Until(now, entryUntil)
+	return l.cold.Until(now, l.entryColdUntil)
+}
+
+func (l *Load) setEntryCold(until time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entryColdUntil = until
 }
 
 // TakeColdShare counts a request to the cold target if it stays within the share of this
