--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -112,7 +112,7 @@
 		m.prepareConn(ctx, m.segment.backup)
 		if m.waitForSwitch(ctx, m.switchDelay(leavingSince)) {
 			m.switchRequested.Store(true)
-			return
+			m.awaitBackupLoss(ctx)
 		}
 		if ctx.Err() != nil {
 			return
@@ -185,10 +185,21 @@
 }
 
 // hasReliableBackup reports whether the segment has a backup that is old enough
-// to be complete and whose target is not leaving.
+// to be complete and whose target is eligible and not leaving.
 func (m *segmentMigration) hasReliableBackup() bool {
 	backup := m.segment.backup
-	return backup != nil && !backup.Load.IsLeaving() && time.Since(m.segment.startedAt) > minBackupAge
+	if backup == nil || backup.Load.IsLeaving() || time.Since(m.segment.startedAt) <= minBackupAge {
+		return false
+	}
+	eligible := m.stream.g.eligibility(m.stream.req)
+	return eligible.allows(backup)
+}
+
+// awaitBackupLoss waits until the stream has switched, which ends ctx, or its backup can no
+// longer be used.
+func (m *segmentMigration) awaitBackupLoss(ctx context.Context) {
+	for sleep(ctx, migrationRetryDelay) && m.hasReliableBackup() {
+	}
 }
 
 // copyKVCache copies the KV cache of the request to a target with enough
@@ -261,18 +272,19 @@
 // given segment, best first. A copy that a migration made precedes the backup.
 func (s *streamRequest) failoverSegments(seg *segment) []*segment {
 	var segments []*segment
+	eligible := s.g.eligibility(s.req)
 	add := func(t *registry.Target, holderAddr, handle string) {
 		segments = append(segments, &segment{target: t, resume: &Resume{HolderAddr: holderAddr, Handle: handle, LastEventID: s.lastEventID}})
 	}
 	// Before the segment's first event, nothing shows that its backup contains any KV
 	// cache of the request. A target without it might start the request anew.
-	if seg.backup != nil && !seg.firstEventAt.IsZero() && !seg.backup.Load.IsLeaving() {
+	if seg.backup != nil && !seg.firstEventAt.IsZero() && !seg.backup.Load.IsLeaving() && eligible.allows(seg.backup) {
 		add(seg.backup, seg.backup.Addr, s.req.ID)
 	}
 	if seg.migration == nil {
 		return segments
 	}
-	if c := seg.migration.copy.Load(); c != nil && !c.target.Load.IsLeaving() && time.Since(c.completedAt) < copyTTL {
+	if c := seg.migration.copy.Load(); c != nil && !c.target.Load.IsLeaving() && time.Since(c.completedAt) < copyTTL && eligible.allows(c.target) {
 		seg.migration.copyUsed.Store(true)
 		add(c.target, seg.target.Addr, c.handle)
 		if len(segments) == 2 {
--- a/registry/keeper.go
+++ b/registry/keeper.go
@@ -335,11 +335,23 @@
 	}
 }
 
+// isReplaced reports whether a target that started later has the address. The entry of a
+// target that is gone may stay for some time, for example while the store is unavailable.
+func isReplaced(t *Target, latestStart map[string]int64) bool {
+	return t.Addr != "" && t.StartMillis != 0 && t.StartMillis < latestStart[t.Addr]
+}
+
+// publish publishes a snapshot. A target whose address belongs to a later one is left out of
+// the ready targets for as long as the later one is registered.
 func (k *Keeper) publish() {
 	s := &Snapshot{Revision: k.revision, targets: make(map[string]*Target, len(k.targets)), services: map[string][]*Target{}}
+	latestStart := make(map[string]int64, len(k.targets))
+	for _, t := range k.targets {
+		latestStart[t.Addr] = max(latestStart[t.Addr], t.StartMillis)
+	}
 	for id, t := range k.targets {
 		s.targets[id] = t
-		if t.State == Ready {
+		if t.State == Ready && !isReplaced(t, latestStart) {
 			s.services[t.Service] = append(s.services[t.Service], t)
 		}
 	}
--- a/sidecar/cold.go
+++ b/sidecar/cold.go
@@ -28,8 +28,14 @@
 	grants      decision.RateWindow
 	// denied counts the denials since the engine turned cold.
 	denied int
+	// limitedAt is when a gateway last asked for a grant of a service with a rate.
+	limitedAt time.Time
 }
 
+// pollRetention is how long the engine is asked after the last reservation of a service
+// with a rate. Engines of other services are never asked.
+const pollRetention = time.Minute
+
 // setIncarnation drops what another incarnation of the engine has stated.
 func (c *coldEngine) setIncarnation(startMillis int64) {
 	if c.startMillis != 0 && c.startMillis != startMillis {
@@ -52,6 +58,14 @@
 	return &millis
 }
 
+// isRateLimited reports whether a gateway has recently asked for a grant of a service with a
+// rate.
+func (s *Sidecar) isRateLimited(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.cold.limitedAt.IsZero() && now.Sub(s.cold.limitedAt) <= pollRetention
+}
+
 // allows reports whether one more request stays within the rate of the engine. An engine
 // that may be cold counts as cold. A rate of 0 is no limit.
 func (c *coldEngine) allows(now time.Time, perSecond float64) bool {
@@ -95,7 +109,7 @@
 func (p *coldPoller) poll(ctx context.Context) {
 	s := p.s
 	startedAt := time.Now()
-	if !p.hold.TryStart(startedAt) {
+	if !s.isRateLimited(startedAt) || !p.hold.TryStart(startedAt) {
 		return
 	}
 	remaining, err := s.opts.Engine.Cold(ctx, s.opts.EngineAddr)
--- a/sidecar/reserve.go
+++ b/sidecar/reserve.go
@@ -86,6 +86,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	if in.ColdPerSecond > 0 {
+		s.cold.limitedAt = now
+	}
 	result := ReservationResult{ColdMillis: s.cold.remainingMillis(now)}
 	if s.latest.Report == nil {
 		return result
