--- a/decision/coldrate.go
+++ b/decision/coldrate.go
@@ -49,6 +49,17 @@
 	w.grants = append(w.grants, now)
 }
 
+// AllowsOnStatement reports whether a target that has stated that it is warm may get one
+// more request beyond the limit. One statement serves for as many grants as the limit, and
+// at least one: the target may have turned cold since it was asked.
+func (w *RateWindow) AllowsOnStatement(askedAt time.Time, limit int) bool {
+	n := 0
+	for i := len(w.grants) - 1; i >= 0 && !w.grants[i].Before(askedAt); i-- {
+		n++
+	}
+	return n < max(limit, 1)
+}
+
 func (w *RateWindow) prune(now time.Time) {
 	n := 0
 	for n < len(w.grants) && now.Sub(w.grants[n]) > RateSpan {
--- a/decision/coldrate_test.go
+++ b/decision/coldrate_test.go
@@ -149,7 +149,7 @@
 	targets  []*simTarget
 	gateways []*simGateway
 	// sidecars is false for a service without sidecars.
-	sidecars        bool
+	sidecars bool
 	// lost requests found no target.
 	sent, attempted, lost int
 }
@@ -259,6 +259,7 @@
 	simPollPeriod      = 40 * time.Millisecond
 	simMaxStatementAge = 3 * simPollPeriod
 	simDemandRetention = time.Second
+	simStatementWait   = 50 * time.Millisecond
 )
 
 // healthTime is how long the target takes to answer its sidecar: a few milliseconds, and
@@ -340,7 +341,7 @@
 			x.polling = true
 			s.pollSidecar(x, x.starts)
 		}
-		if !x.isKnown(s.now) || x.known.After(s.now) {
+		if !x.isKnown(s.now) || x.known.After(s.now) || !x.grants.AllowsOnStatement(x.askedAt, s.limit.BySidecar()) {
 			return false
 		}
 	}
@@ -348,6 +349,20 @@
 	return true
 }
 
+// reserveAwaiting decides like reserve, but waits for a statement that is not known yet.
+func (s *coldSim) reserveAwaiting(x *simTarget, since time.Time, decided func(granted bool)) {
+	switch {
+	case !x.up:
+		decided(false)
+	case s.reserve(x):
+		decided(true)
+	case x.isKnown(s.now) && x.known.After(s.now), s.now.Sub(since) >= simStatementWait:
+		decided(false)
+	default:
+		s.after(time.Millisecond, func() { s.reserveAwaiting(x, since, decided) })
+	}
+}
+
 // The timing of the gateways, as in package gateway.
 const (
 	simMaxReportAge  = 700 * time.Millisecond
@@ -414,17 +429,18 @@
 		return
 	}
 	s.after(s.transit(), func() {
-		up := x.up
-		granted := up && s.reserve(x)
-		s.after(s.transit(), func() {
-			switch {
-			case !up, s.now.Sub(askedAt) > MaxGrantDelay:
-				noAnswer()
-			case granted:
-				s.send(x)
-			default:
-				s.deny(r, i)
-			}
+		s.reserveAwaiting(x, s.now, func(granted bool) {
+			up := x.up
+			s.after(s.transit(), func() {
+				switch {
+				case !up, s.now.Sub(askedAt) > MaxGrantDelay:
+					noAnswer()
+				case granted:
+					s.send(x)
+				default:
+					s.deny(r, i)
+				}
+			})
 		})
 	})
 }
@@ -719,20 +735,27 @@
 					s.runUntil(s.now.Add(5 * time.Second))
 					begin(s)
 					s.runUntil(s.now.Add(9 * time.Second))
-					t.Logf("%s, %d gateways, seed %d: %d of %d lost", name, gateways, seed, s.lost, s.attempted)
+					convey.So(s.lost, convey.ShouldEqual, 0)
+					convey.So(s.sent, convey.ShouldEqual, s.attempted)
+					if name == withinRateScenario {
+						convey.So(s.targets[0].asked, convey.ShouldEqual, 0)
+					}
 				}
 			})
 		}
 	}
 }
 
+// withinRateScenario needs no question to the targets.
+const withinRateScenario = "demand within the rate"
+
 // warmScenarios returns what happens to a warm fleet, by description. The load is 400
 // requests per second and target unless the description says otherwise.
 func warmScenarios() map[string]func(s *coldSim) {
 	burst := func(s *coldSim) { s.after(0, func() { s.load(400*6, s.now.Add(5*time.Second)) }) }
 	return map[string]func(s *coldSim){
 		"a burst begins": burst,
-		"demand within the rate": func(s *coldSim) {
+		withinRateScenario: func(s *coldSim) {
 			s.after(0, func() { s.load(10*6, s.now.Add(5*time.Second)) })
 		},
 		"a third of the gateways is partitioned": func(s *coldSim) {
--- a/sidecar/cold.go
+++ b/sidecar/cold.go
@@ -18,6 +18,11 @@
 	// it is used. After that the engine may be cold. A longer time would leave an engine
 	// that turns cold unlimited while its health check is slow or fails.
 	maxStatementPolls = 3
+	// maxStatementWait is how long a reservation beyond the limit waits for the answer to a
+	// question in progress. Without it, a warm engine that is alone loses requests whenever
+	// its demand begins to exceed the limit. It leaves time for the way between regions
+	// within the timeout of the gateways.
+	maxStatementWait = 50 * time.Millisecond
 	// demandRetention is how long the engine is asked after the last reservation that
 	// found the window used up. Health checks are paid for on some platforms, so an engine
 	// whose demand stays within the rate is never asked.
@@ -37,6 +42,8 @@
 	denied int
 	// usedUpAt is when a reservation last found the window used up.
 	usedUpAt time.Time
+	// failed is set if the last question to the engine failed.
+	failed bool
 }
 
 // setIncarnation drops what another incarnation of the engine has stated.
@@ -63,13 +70,14 @@
 }
 
 // allows reports whether one more request stays within the limit for a cold engine. Beyond
-// the limit it needs a recent statement that the engine is warm.
+// the limit it needs a recent statement that the engine is warm, which serves for a limited
+// number of requests.
 func (c *coldEngine) allows(now time.Time, limit int, maxAge time.Duration) bool {
 	if c.grants.Allows(now, limit) {
 		return true
 	}
 	c.usedUpAt = now
-	if c.isKnown(now, maxAge) && !c.until.After(now) {
+	if c.isKnown(now, maxAge) && !c.until.After(now) && c.grants.AllowsOnStatement(c.askedAt, limit) {
 		return true
 	}
 	c.denied++
@@ -96,6 +104,56 @@
 	return allowed
 }
 
+// notifyColdAnswer ends the wait of reservations. Callers hold the lock.
+func (s *Sidecar) notifyColdAnswer() {
+	close(s.coldAnswered)
+	s.coldAnswered = make(chan struct{})
+}
+
+// setColdFailed records that a question to the engine failed. It reports whether the one
+// before failed too.
+func (s *Sidecar) setColdFailed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.cold.failed
+	s.cold.failed = true
+	s.notifyColdAnswer()
+	return before
+}
+
+// pendingColdAnswer returns a channel that is closed at the next answer of the engine or
+// failure to get it, nil if the last question failed.
+func (s *Sidecar) pendingColdAnswer() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cold.failed {
+		return nil
+	}
+	return s.coldAnswered
+}
+
+// reserveAwaiting is like reserve, but a reservation that is denied although the engine has
+// not stated that it is cold waits for its answer, for a limited time.
+func (s *Sidecar) reserveAwaiting(ctx context.Context, in *Reservation) ReservationResult {
+	timer := time.NewTimer(maxStatementWait)
+	defer timer.Stop()
+	for {
+		answered := s.pendingColdAnswer()
+		result := s.reserve(in)
+		isCold := result.ColdMillis != nil && *result.ColdMillis > 0
+		if !result.ColdDenied || isCold || answered == nil {
+			return result
+		}
+		select {
+		case <-answered:
+		case <-timer.C:
+			return result
+		case <-ctx.Done():
+			return result
+		}
+	}
+}
+
 // needsStatement reports whether a reservation has recently found the window used up.
 func (s *Sidecar) needsStatement(now time.Time) bool {
 	s.mu.Lock()
@@ -107,9 +165,8 @@
 // window used up, then periodically while that goes on. It does not share the poller of
 // reports, whose responses may be slow. It is a suture service.
 type coldPoller struct {
-	s      *Sidecar
-	hold   decision.ShedHold
-	failed bool
+	s    *Sidecar
+	hold decision.ShedHold
 }
 
 // Serve implements suture.Service.
@@ -158,19 +215,18 @@
 		if errors.As(err, &refused) && refused.RetryAfter > 0 {
 			p.hold.Shed(time.Now(), refused.RetryAfter, 0)
 		}
-		if !p.failed && ctx.Err() == nil {
+		if !s.setColdFailed() && ctx.Err() == nil {
 			telemetry.Warn(s.opts.Logger, "asking the engine whether it is cold failed", "odd", errors.Is(err, ErrOddCold), "err", err)
 		}
-		p.failed = true
 		return
 	}
-	p.failed = false
 	p.hold.Accepted(startedAt)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	wasKnown, wasCold := s.cold.isKnown(now, s.maxStatementAge()), s.cold.until.After(now)
-	s.cold.askedAt, s.cold.until = startedAt, now.Add(remaining)
+	s.cold.askedAt, s.cold.until, s.cold.failed = startedAt, now.Add(remaining), false
+	s.notifyColdAnswer()
 	isCold := remaining > 0
 	if wasKnown && wasCold == isCold {
 		return
--- a/sidecar/cold_test.go
+++ b/sidecar/cold_test.go
@@ -67,15 +67,20 @@
 		poller.poll(context.Background())
 		convey.So(grants(3, 28), convey.ShouldEqual, 0)
 	})
-	convey.Convey("In the first span a warm engine is not limited", t, func() {
+	convey.Convey("In the first span a warm engine gets as many requests as the limit for each answer", t, func() {
 		engine.setCold(0, nil)
-		poller.poll(context.Background())
-		convey.So(grants(100, 28), convey.ShouldEqual, 100)
+		for range 4 {
+			poller.poll(context.Background())
+			convey.So(grants(28, 28), convey.ShouldEqual, 28)
+		}
+		convey.So(grants(3, 28), convey.ShouldEqual, 0)
 	})
 	convey.Convey("The grants of a warm engine count when it turns cold", t, func() {
 		s.cold.grants = decision.RateWindow{}
 		convey.So(*reserve(&limit, true).ColdMillis, convey.ShouldEqual, 0)
-		convey.So(grants(100, 28), convey.ShouldEqual, 100)
+		convey.So(grants(27, 28), convey.ShouldEqual, 27)
+		poller.poll(context.Background())
+		convey.So(grants(28, 28), convey.ShouldEqual, 28)
 		engine.setCold(time.Minute, nil)
 		poller.poll(context.Background())
 		convey.So(grants(3, 28), convey.ShouldEqual, 0)
@@ -102,8 +107,10 @@
 		convey.So(*line.Report.ColdMillis, convey.ShouldEqual, 0)
 	})
 	convey.Convey("A statement is used for three poll periods from the question on", t, func() {
+		s.cold.grants = decision.RateWindow{}
 		s.cold.askedAt = time.Now().Add(-2 * testPollPeriod)
-		convey.So(grants(3, 0), convey.ShouldEqual, 3)
+		convey.So(grants(3, 0), convey.ShouldEqual, 1)
+		s.cold.grants = decision.RateWindow{}
 		s.cold.askedAt = time.Now().Add(-3 * testPollPeriod)
 		convey.So(grants(3, 0), convey.ShouldEqual, 0)
 	})
@@ -164,3 +171,41 @@
 		convey.So(engine.timesAsked(), convey.ShouldEqual, before)
 	})
 }
+
+// Guards against a warm engine that loses requests while the first answer is awaited, and
+// against reservations that wait for an engine that does not answer.
+func TestReservationAwaitsTheAnswer(t *testing.T) {
+	engine := &fakeEngine{report: Report{StartMillis: 1}}
+	s := New(Options{Engine: engine, Logger: log.NewNopLogger(), PollPeriod: testPollPeriod})
+	poller := &coldPoller{s: s}
+	limit := 3
+	reserve := func() (ReservationResult, time.Duration) {
+		startedAt := time.Now()
+		result := s.reserveAwaiting(context.Background(), &Reservation{RequestID: "a", ColdLimit: &limit, ColdOnly: true})
+		return result, time.Since(startedAt)
+	}
+	convey.Convey("Without an answer, a reservation is denied after the limit of the wait", t, func() {
+		result, took := reserve()
+		convey.So(result.ColdDenied, convey.ShouldBeTrue)
+		convey.So(took, convey.ShouldBeGreaterThanOrEqualTo, maxStatementWait)
+	})
+	convey.Convey("After a failed question, it is denied at once", t, func() {
+		engine.setCold(0, errors.New("no answer"))
+		poller.poll(context.Background())
+		result, took := reserve()
+		convey.So(result.ColdDenied, convey.ShouldBeTrue)
+		convey.So(took, convey.ShouldBeLessThan, maxStatementWait)
+	})
+	convey.Convey("An answer during the wait decides", t, func() {
+		s.cold.failed = false
+		for cold, granted := range map[time.Duration]bool{0: true, time.Minute: false} {
+			s.cold.askedAt = time.Time{}
+			engine.setCold(cold, nil)
+			timer := time.AfterFunc(maxStatementWait/10, func() { poller.poll(context.Background()) })
+			result, took := reserve()
+			timer.Stop()
+			convey.So(result.ColdGranted, convey.ShouldEqual, granted)
+			convey.So(took, convey.ShouldBeLessThan, maxStatementWait)
+		}
+	})
+}
--- a/sidecar/reserve.go
+++ b/sidecar/reserve.go
@@ -81,7 +81,7 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	// Encode fails only if the client has disconnected.
-	_ = json.NewEncoder(w).Encode(s.reserve(&in))
+	_ = json.NewEncoder(w).Encode(s.reserveAwaiting(r.Context(), &in))
 }
 
 // reserve grants a reservation if the engine is reachable, does not leave, and is within the
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -61,6 +61,9 @@
 	cold         coldEngine
 	// coldDemand wakes the coldPoller.
 	coldDemand chan struct{}
+	// coldAnswered is closed and replaced when the engine has answered the coldPoller, or
+	// has failed to.
+	coldAnswered chan struct{}
 	// changed is closed and replaced when watchers must be notified at once.
 	changed chan struct{}
 
@@ -94,7 +97,7 @@
 func New(opts Options) *Sidecar {
 	return &Sidecar{
 		opts: opts, latest: Line{EngineUnreachable: true}, changed: make(chan struct{}),
-		cold: coldEngine{grants: decision.NewRateWindow(time.Now())}, coldDemand: make(chan struct{}, 1),
+		cold: coldEngine{grants: decision.NewRateWindow(time.Now())}, coldDemand: make(chan struct{}, 1), coldAnswered: make(chan struct{}),
 	}
 }
 
