--- a/internal/platformtest/worker.go
+++ b/internal/platformtest/worker.go
@@ -237,6 +237,9 @@
 	w.server.Close()
 }
 
+// CloseConnections closes the worker's connections, as at the end of its idle timeout.
+func (w *Worker) CloseConnections() { w.server.CloseClientConnections() }
+
 // StoreEntry returns the value of the worker's entry in the store.
 func (w *Worker) StoreEntry(service, zone, state string) []byte {
 	return w.StoreEntryOf(service, zone, state, 1)
--- a/sidecar/cold_test.go
+++ b/sidecar/cold_test.go
@@ -33,23 +33,40 @@
 	return granted
 }
 
-// Guards against a sidecar that grants more than a cold engine can handle, that takes an
-// engine for warm of which it knows nothing, or that limits a warm one.
-func TestColdGrants(t *testing.T) {
+// coldFixture is a sidecar that is asked over HTTP, and whose engine is polled by the test.
+type coldFixture struct {
+	s       *Sidecar
+	engine  *fakeEngine
+	poll    func()
+	reserve func(limit *int, coldOnly bool) ReservationResult
+	grants  func(n, limit int) int
+}
+
+func newColdFixture(t *testing.T) *coldFixture {
+	t.Helper()
 	engine := &fakeEngine{report: Report{StartMillis: 1}}
 	s := New(Options{Engine: engine, Logger: log.NewNopLogger(), PollPeriod: testPollPeriod})
 	poller := &coldPoller{s: s}
 	server := httptest.NewServer(http.HandlerFunc(s.handleReserve))
-	defer server.Close()
+	t.Cleanup(server.Close)
 	client := NewClient(&http.Client{})
-	reserve := func(limit *int, coldOnly bool) ReservationResult {
+	f := &coldFixture{s: s, engine: engine, poll: func() { poller.poll(context.Background()) }}
+	f.reserve = func(limit *int, coldOnly bool) ReservationResult {
 		result, err := client.Reserve(context.Background(), server.Listener.Addr().String(),
 			&Reservation{RequestID: "a", PromptTokens: 10, MaxPrefillTokens: -1, MaxKVTokens: -1, ColdLimit: limit, ColdOnly: coldOnly})
 		convey.So(err, convey.ShouldBeNil)
 		return result
 	}
+	f.grants = func(n, limit int) int { return countGrants(f.reserve, n, limit) }
+	return f
+}
+
+// Guards against a sidecar that grants more than a cold engine can handle, that takes an
+// engine for warm of which it knows nothing, or that limits a warm one.
+func TestColdGrants(t *testing.T) {
+	f := newColdFixture(t)
+	s, engine, reserve, grants := f.s, f.engine, f.reserve, f.grants
 	limit := 28
-	grants := func(n, limit int) int { return countGrants(reserve, n, limit) }
 	convey.Convey("A request for a grant alone is decided without a report, one for room is not", t, func() {
 		convey.So(reserve(&limit, true).ColdDenied, convey.ShouldBeTrue)
 		convey.So(reserve(&limit, false), convey.ShouldResemble, ReservationResult{})
@@ -64,13 +81,13 @@
 	})
 	convey.Convey("In the first span nothing is granted for a cold engine", t, func() {
 		engine.setCold(time.Minute, nil)
-		poller.poll(context.Background())
+		f.poll()
 		convey.So(grants(3, 28), convey.ShouldEqual, 0)
 	})
 	convey.Convey("In the first span a warm engine gets as many requests as the limit for each answer", t, func() {
 		engine.setCold(0, nil)
 		for range 4 {
-			poller.poll(context.Background())
+			f.poll()
 			convey.So(grants(28, 28), convey.ShouldEqual, 28)
 		}
 		convey.So(grants(3, 28), convey.ShouldEqual, 0)
@@ -79,10 +96,10 @@
 		s.cold.grants = decision.RateWindow{}
 		convey.So(*reserve(&limit, true).ColdMillis, convey.ShouldEqual, 0)
 		convey.So(grants(27, 28), convey.ShouldEqual, 27)
-		poller.poll(context.Background())
+		f.poll()
 		convey.So(grants(28, 28), convey.ShouldEqual, 28)
 		engine.setCold(time.Minute, nil)
-		poller.poll(context.Background())
+		f.poll()
 		convey.So(grants(3, 28), convey.ShouldEqual, 0)
 	})
 	convey.Convey("A cold engine gets its limit, and nothing is reserved for what is not granted or asks only for a grant", t, func() {
@@ -95,10 +112,21 @@
 		s.cold.grants = decision.RateWindow{}
 		convey.So(grants(3, 0), convey.ShouldEqual, 0)
 	})
+}
+
+// Guards against reports without the engine's statement, and against a statement that counts
+// although it is old, odd or that of another incarnation.
+func TestColdStatements(t *testing.T) {
+	f := newColdFixture(t)
+	s, engine, reserve, grants := f.s, f.engine, f.reserve, f.grants
+	limit := 28
+	s.poll(context.Background())
+	// The engine is asked only after a reservation that finds the window used up.
+	s.reserve(&Reservation{RequestID: "a", ColdLimit: &limit, ColdOnly: true})
 	convey.Convey("Reports state how long the engine stays cold, from the poll on that shows it", t, func() {
 		_, changed := s.latestLine()
 		engine.setCold(0, nil)
-		poller.poll(context.Background())
+		f.poll()
 		<-changed
 		line, _ := s.latestLine()
 		convey.So(*line.Report.ColdMillis, convey.ShouldEqual, 0)
@@ -116,10 +144,10 @@
 	})
 	convey.Convey("An odd statement and a new incarnation do not make the engine warm", t, func() {
 		engine.setCold(0, errors.Wrap(ErrOddCold, "health"))
-		poller.poll(context.Background())
+		f.poll()
 		convey.So(reserve(&limit, true).ColdMillis, convey.ShouldBeNil)
 		engine.setCold(0, nil)
-		poller.poll(context.Background())
+		f.poll()
 		convey.So(reserve(&limit, true).ColdMillis, convey.ShouldNotBeNil)
 		engine.set(Report{StartMillis: 2}, nil)
 		s.poll(context.Background())
