--- a/gateway/eligibility_test.go
+++ b/gateway/eligibility_test.go
@@ -187,89 +187,111 @@
 	}
 }
 
+// eligibilityModel states which targets a request may use, independently of the gateway's
+// code: those that the configuration at its arrival and the one in force allow, outside of
+// the evacuated data centres.
+type eligibilityModel struct {
+	g                  *Gateway
+	version, revision  int64
+	atArrival, inForce [][]string
+	evacuatedNow       map[string]bool
+}
+
+func (m *eligibilityModel) allows(target *registry.Target) bool {
+	region := testRegions[target.Datacentre]
+	for _, limit := range append(slices.Clone(m.atArrival), m.inForce...) {
+		if len(limit) > 0 && !slices.Contains(limit, region) {
+			return false
+		}
+	}
+	return !m.evacuatedNow[target.Datacentre]
+}
+
+func (m *eligibilityModel) check(t *rapid.T, choice string, target *registry.Target) {
+	if target != nil && !m.allows(target) {
+		t.Fatalf("%s: target in %q, limits %v and %v, evacuated %v", choice, target.Datacentre, m.atArrival, m.inForce, m.evacuatedNow)
+	}
+}
+
+// configure puts a random configuration into force.
+func (m *eligibilityModel) configure(t *rapid.T) {
+	m.version++
+	regionNames := rapid.SliceOfN(rapid.SampledFrom([]string{"north", "south", "east", "nowhere"}), 0, 3)
+	route, workspace := regionNames.Draw(t, "route"), regionNames.Draw(t, "workspace")
+	data, err := json.Marshal(map[string]any{"Version": m.version, "Route": route, "Workspace": workspace})
+	if err != nil {
+		t.Fatal(err)
+	}
+	kv := kvstore.KV{Key: testTablePrefix, Value: data, ModRevision: m.version}
+	m.g.feedHub.Apply(kvstore.WatchBatch{Revision: m.version, Events: []kvstore.Event{{KV: kv}}})
+	m.inForce = [][]string{route, workspace}
+}
+
+// step changes the configuration or the evacuations.
+func (m *eligibilityModel) step(t *rapid.T) {
+	m.revision++
+	datacentre := rapid.SampledFrom([]string{"a", "b", "c", "d", "unnamed"}).Draw(t, "datacentre")
+	kv := kvstore.KV{Key: testEvacuationPrefix + datacentre, ModRevision: m.revision}
+	switch rapid.SampledFrom([]string{"configure", "evacuate", "end", "forget"}).Draw(t, "step") {
+	case "configure":
+		m.configure(t)
+	case "evacuate":
+		m.g.evacuations.Apply(kvstore.WatchBatch{Revision: m.revision, Events: []kvstore.Event{{KV: kv}}})
+		m.evacuatedNow[datacentre] = true
+	case "end":
+		m.g.evacuations.Apply(kvstore.WatchBatch{Revision: m.revision, Events: []kvstore.Event{{KV: kv, Deleted: true}}})
+		delete(m.evacuatedNow, datacentre)
+	case "forget":
+		m.g.evacuations.Reset([]kvstore.KV{kv}, m.revision)
+		m.evacuatedNow = map[string]bool{datacentre: true}
+	}
+}
+
+// checkChoices checks every choice of a target for a request.
+func (m *eligibilityModel) checkChoices(t *rapid.T, req *request) {
+	g := m.g
+	all := slices.Collect(maps.Values(g.targets.Snapshot().All()))
+	chosen := g.chooseTarget(req, nil)
+	m.check(t, "placement", chosen)
+	if chosen == nil && slices.ContainsFunc(all, m.allows) {
+		t.Fatal("placement: no target chosen although one is eligible")
+	}
+	for i, primary := range all {
+		m.check(t, "backup", g.chooseBackupTarget(req, primary))
+		m.check(t, "migration", g.chooseMigrationTarget(req, primary))
+		other := all[(i+2)%len(all)]
+		s := &streamRequest{g: g, req: req, kept: &keptCache{source: primary}}
+		seg := &segment{target: primary, backup: other, firstEventAt: time.Now(), migration: &segmentMigration{stream: s}}
+		seg.migration.copy.Store(&kvCopy{target: other, completedAt: time.Now()})
+		for _, next := range s.failoverSegments(seg) {
+			m.check(t, "continuation", next.target)
+		}
+		if s.canReturnToSource() {
+			m.check(t, "return to the source", primary)
+		}
+		if e := g.eligibility(req); e.allows(primary) != m.allows(primary) {
+			t.Fatalf("last check: got %v for %q", e.allows(primary), primary.Datacentre)
+		}
+	}
+	if eligible := slices.ContainsFunc(all, m.allows); eligible != (g.ineligibleError(req) == nil) {
+		t.Fatalf("refusal: %v with eligible targets %v", g.ineligibleError(req), eligible)
+	}
+}
+
 // Guards against a choice of a target, for a new request, a copy, a backup, a migration, a
 // continuation or the return to a source, outside the allowed regions or in an evacuated
 // data centre, after any sequence of configurations and evacuations.
 func TestNoChoiceLeavesTheConstraints(t *testing.T) {
-	g := newEligibilityGateway(t)
-	version, revision := int64(0), int64(1)
-	regionNames := rapid.SliceOfN(rapid.SampledFrom([]string{"north", "south", "east", "nowhere"}), 0, 3)
-	datacentres := rapid.SampledFrom([]string{"a", "b", "c", "d", "unnamed"})
+	m := &eligibilityModel{g: newEligibilityGateway(t), revision: 1}
 	rapid.Check(t, func(t *rapid.T) {
-		// The model: what the configuration at the arrival and the one in force allow.
-		var limits [][]string
-		configure := func() {
-			version++
-			route, workspace := regionNames.Draw(t, "route"), regionNames.Draw(t, "workspace")
-			data, err := json.Marshal(map[string]any{"Version": version, "Route": route, "Workspace": workspace})
-			if err != nil {
-				t.Fatal(err)
-			}
-			g.feedHub.Apply(kvstore.WatchBatch{Revision: version, Events: []kvstore.Event{{KV: kvstore.KV{Key: testTablePrefix, Value: data, ModRevision: version}}}})
-			limits = [][]string{route, workspace}
-		}
-		configure()
-		atArrival := limits
-		req := newEligibilityRequest(g)
-		evacuatedNow := map[string]bool{}
-		g.evacuations.Reset(nil, revision)
-		allowed := func(target *registry.Target) bool {
-			region := testRegions[target.Datacentre]
-			for _, limit := range append(slices.Clone(atArrival), limits...) {
-				if len(limit) > 0 && !slices.Contains(limit, region) {
-					return false
-				}
-			}
-			return !evacuatedNow[target.Datacentre]
-		}
-		check := func(choice string, target *registry.Target) {
-			if target != nil && !allowed(target) {
-				t.Fatalf("%s: target in %q, limits %v and %v, evacuated %v", choice, target.Datacentre, atArrival, limits, evacuatedNow)
-			}
-		}
-		all := slices.Collect(maps.Values(g.targets.Snapshot().All()))
+		m.g.evacuations.Reset(nil, m.revision)
+		m.evacuatedNow = map[string]bool{}
+		m.configure(t)
+		m.atArrival = m.inForce
+		req := newEligibilityRequest(m.g)
 		for range rapid.IntRange(1, 6).Draw(t, "steps") {
-			revision++
-			datacentre := datacentres.Draw(t, "datacentre")
-			kv := kvstore.KV{Key: testEvacuationPrefix + datacentre, ModRevision: revision}
-			switch rapid.SampledFrom([]string{"configure", "evacuate", "end", "forget"}).Draw(t, "step") {
-			case "configure":
-				configure()
-			case "evacuate":
-				g.evacuations.Apply(kvstore.WatchBatch{Revision: revision, Events: []kvstore.Event{{KV: kv}}})
-				evacuatedNow[datacentre] = true
-			case "end":
-				g.evacuations.Apply(kvstore.WatchBatch{Revision: revision, Events: []kvstore.Event{{KV: kv, Deleted: true}}})
-				delete(evacuatedNow, datacentre)
-			case "forget":
-				g.evacuations.Reset([]kvstore.KV{kv}, revision)
-				evacuatedNow = map[string]bool{datacentre: true}
-			}
-			chosen := g.chooseTarget(req, nil)
-			check("placement", chosen)
-			if chosen == nil && slices.ContainsFunc(all, allowed) {
-				t.Fatal("placement: no target chosen although one is eligible")
-			}
-			for i, primary := range all {
-				check("backup", g.chooseBackupTarget(req, primary))
-				check("migration", g.chooseMigrationTarget(req, primary))
-				other := all[(i+2)%len(all)]
-				s := &streamRequest{g: g, req: req, kept: &keptCache{source: primary}}
-				seg := &segment{target: primary, backup: other, firstEventAt: time.Now(), migration: &segmentMigration{stream: s}}
-				seg.migration.copy.Store(&kvCopy{target: other, completedAt: time.Now()})
-				for _, next := range s.failoverSegments(seg) {
-					check("continuation", next.target)
-				}
-				if s.canReturnToSource() {
-					check("return to the source", primary)
-				}
-				if e := g.eligibility(req); e.allows(primary) != allowed(primary) {
-					t.Fatalf("last check: got %v for %q", e.allows(primary), primary.Datacentre)
-				}
-			}
-			if eligible := slices.ContainsFunc(all, allowed); eligible != (g.ineligibleError(req) == nil) {
-				t.Fatalf("refusal: %v with eligible targets %v", g.ineligibleError(req), eligible)
-			}
+			m.step(t)
+			m.checkChoices(t, req)
 		}
 	})
 }
