--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -43,6 +43,10 @@
 	// ranAt holds the addresses of the targets that may have run a resumable stream. The map
 	// is replaced, never changed, since migrations read it beside the request's goroutine.
 	ranAt atomic.Pointer[map[string]bool]
+	// coldGrant is the last grant for a cold target. coldDeniedAt is when a cold target
+	// first denied the request.
+	coldGrant    coldGrant
+	coldDeniedAt time.Time
 }
 
 // mayHaveRunAt reports whether a resumable stream may have run at an address.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -20,6 +20,9 @@
 	sourceStops     metric.Int64Counter
 	reruns          metric.Int64Counter
 	slowReaders     metric.Int64Counter
+	coldGrants      metric.Int64Counter
+	coldDenials     metric.Int64Counter
+	ignored         metric.Int64Counter
 	firstByte       metric.Float64Histogram
 	requestDuration metric.Float64Histogram
 }
@@ -41,6 +44,9 @@
 		sourceStops:     base.Counter("source_stops", "Calls that stop a request at its source before it continues elsewhere, by service and whether the source confirmed the stop."),
 		reruns:          base.Counter("stream_reruns", "Broken resumable streams without a copy of their KV cache, by service, whether the client had received events, and whether another target ran the stream again."),
 		slowReaders:     base.Counter("slow_readers", "Times that reading from a target went ahead of a client that reads slowly (began), and that a limit stopped it (full), by service."),
+		coldGrants:      base.Counter("cold_grants", "Requests that were allowed to cold targets, by service and by who allowed them: sidecar or share."),
+		coldDenials:     base.Counter("cold_denials", "Requests that were not sent to a cold target, by service and by who denied them: sidecar or share."),
+		ignored:         base.Counter("ignored_values", "Values out of range that were ignored, by where they stood."),
 		firstByte:       base.DurationHistogram("first_byte", "Time to the first byte of a target's answer.", latencyBounds...),
 		requestDuration: base.DurationHistogram("request", "Time to the end of an answer.", latencyBounds...),
 	}
@@ -62,6 +68,18 @@
 	m.holds.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
 }
 
+func (m *metrics) recordCold(service, by string, granted bool) {
+	counter := m.coldDenials
+	if granted {
+		counter = m.coldGrants
+	}
+	counter.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("by", by)))
+}
+
+func (m *metrics) recordIgnored(where string) {
+	m.ignored.Add(context.Background(), 1, metric.WithAttributes(attribute.String("where", where)))
+}
+
 func (m *metrics) recordSourceStop(service string, confirmed bool) {
 	m.sourceStops.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.Bool("confirmed", confirmed)))
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -113,6 +113,14 @@
 		if ctx.Err() != nil {
 			break
 		}
+		// The choice leaves out the targets that were tried. A continuation has only the
+		// targets that hold a copy.
+		if errors.Is(err, errTargetCold) && seg.resume == nil {
+			if !s.req.maySearchOn(time.Now()) {
+				break
+			}
+			n--
+		}
 		next = s.nextSegment(ctx, seg, segResult, n)
 		if segResult == segmentBroken && next == nil {
 			if s.relayLastFailure(ctx) {
