--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -18,6 +18,8 @@
 	attempts        metric.Int64Counter
 	holds           metric.Int64Counter
 	sourceStops     metric.Int64Counter
+	reruns          metric.Int64Counter
+	slowReaders     metric.Int64Counter
 	coldGrants      metric.Int64Counter
 	coldDenials     metric.Int64Counter
 	ignored         metric.Int64Counter
@@ -40,6 +42,8 @@
 		attempts:        base.Counter("attempts", "Attempts at targets by service and outcome."),
 		holds:           base.Counter("target_holds", "Times that a target turned a request away and wanted no further ones for some time, by service."),
 		sourceStops:     base.Counter("source_stops", "Calls that stop a request at its source before it continues elsewhere, by service and whether the source confirmed the stop."),
+		reruns:          base.Counter("stream_reruns", "Broken resumable streams without a copy of their KV cache, by service, whether the client had received events, and whether another target ran the stream again."),
+		slowReaders:     base.Counter("slow_readers", "Times that reading from a target went ahead of a client that reads slowly (began), and that a limit stopped it (full), by service."),
 		coldGrants:      base.Counter("cold_grants", "Requests that were allowed to cold targets, by service and by who allowed them: sidecar or share."),
 		coldDenials:     base.Counter("cold_denials", "Requests that were not sent to a cold target, by service and by who denied them: sidecar or share."),
 		ignored:         base.Counter("ignored_values", "Values out of range that were ignored, by where they stood."),
@@ -79,3 +83,11 @@
 func (m *metrics) recordSourceStop(service string, confirmed bool) {
 	m.sourceStops.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.Bool("confirmed", confirmed)))
 }
+
+func (m *metrics) recordRerun(service string, afterEvents bool, verdict string) {
+	m.reruns.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.Bool("after_events", afterEvents), attribute.String("verdict", verdict)))
+}
+
+func (m *metrics) recordSlowReader(service, event string) {
+	m.slowReaders.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("event", event)))
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,6 +29,9 @@
 	headerSent      bool
 	deliveredEvents int
 	lastEventID     string
+	resumption      resumption
+	// writesLimited is set once writes to the client have a deadline.
+	writesLimited atomic.Bool
 	// timeToFirstEvent is the time from the arrival of the request to its first
 	// event.
 	timeToFirstEvent time.Duration
@@ -57,6 +61,9 @@
 	// resume names the copy of the KV cache from which the segment continues
 	// the stream, nil if the segment runs the request from the start.
 	resume *Resume
+	// lastEventID is the event after which a run from the start continues the stream, "" if
+	// the client has received none.
+	lastEventID string
 	// startedAt is the time at which the segment started. migration is nil if
 	// the request cannot be migrated.
 	startedAt time.Time
@@ -66,6 +73,8 @@
 	firstEventAt time.Time
 	// recordedSound is set once the target has survived the begin of the answer.
 	recordedSound bool
+	// aligned is set once the events of a continuation follow those before it.
+	aligned bool
 }
 
 // segmentResult states how a segment ended.
@@ -88,7 +97,9 @@
 func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, req *request) {
 	req.triedTargets = map[string]bool{}
 	s := &streamRequest{g: g, req: req, w: w, controller: http.NewResponseController(w)}
+	s.beginResumption()
 	defer s.freeKept()
+	defer s.unlimitWrites()
 	next := s.initialSegment(ctx)
 	var err error
 	for n := 0; next != nil; n++ {
@@ -112,6 +123,9 @@
 		}
 		next = s.nextSegment(ctx, seg, segResult, n)
 		if segResult == segmentBroken && next == nil {
+			if s.relayLastFailure(ctx) {
+				return
+			}
 			s.fail(ctx, seg.target, err)
 			return
 		}
@@ -144,17 +158,18 @@
 	if segResult == segmentBroken {
 		// The target may have used the copy, or may still run the request.
 		s.freeKept()
+		s.recordRun(seg)
 		if !s.retrySpent {
 			s.failovers = s.failoverSegments(seg)
 		}
-		next := s.failOver(seg)
+		next := s.continueStream(ctx, seg, segResult, n)
 		if next != nil {
 			s.stopAtSource(ctx, seg, next)
 		}
 		return next
 	}
-	if seg.resume != nil {
-		return s.failOver(seg)
+	if seg.resume != nil || s.mayHaveRun {
+		return s.continueStream(ctx, seg, segResult, n)
 	}
 	if n+1 >= maxDispatches {
 		return nil
@@ -210,6 +225,7 @@
 // serveSegment dispatches the request to the segment's target and relays its
 // events to the client.
 func (s *streamRequest) serveSegment(ctx context.Context, seg *segment) (segmentResult, error) {
+	s.resumption.lastFailure = nil
 	load := newSegmentLoad(s.req, seg)
 	defer load.remove()
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -242,14 +258,13 @@
 		return segmentNotRun, nil
 	}
 	if at.resp.StatusCode != http.StatusOK || !at.respMeta.Signed {
-		s.relayFailure(ctx, at)
-		return segmentDone, nil
+		return s.relayFailure(ctx, at)
 	}
 	err = s.relayEvents(at, load, seg)
 	switch {
 	case errors.Is(err, io.EOF):
 		complete = true
-		s.recordSound(seg, true)
+		s.recordSound(seg, true, time.Time{})
 		s.g.clearSuspect(s.req)
 		s.sendHeader(at.resp)
 		s.recordEnd(seg.target, "complete", nil)
@@ -267,7 +282,7 @@
 }
 
 func (seg *segment) attempt() AttemptMeta {
-	a := AttemptMeta{Resume: seg.resume}
+	a := AttemptMeta{Resume: seg.resume, LastEventID: seg.lastEventID}
 	if seg.backup != nil {
 		a.BackupAddr, a.backup = seg.backup.Addr, seg.backup
 	}
@@ -299,24 +314,32 @@
 // target. It always returns an error: io.EOF for a clean end, errSwitch for a
 // switch.
 func (s *streamRequest) relayEvents(at *attempt, load *segmentLoad, seg *segment) error {
-	reader := newEventReader(at.resp.Body, s.g.responseBuffer)
-	defer reader.release()
+	events := s.newReadAhead(at, seg)
+	defer events.reader.release()
+	defer events.stop()
 	for {
-		ev, err := reader.next()
+		ev, err := events.next()
 		if err != nil {
 			return err
 		}
 		load.setPrefillPending(false)
-		s.freeKept()
-		s.recordSound(seg, false)
+		s.recordSound(seg, false, ev.readAt)
 		if s.isRepeated(ev) {
 			continue
 		}
+		if err := s.checkGap(seg, ev); err != nil {
+			return err
+		}
+		if ev.id != "" || ev.hasData {
+			// Not before: a comment doesn't show where the target continues.
+			s.freeKept()
+		}
 		s.sendHeader(at.resp)
-		if err := s.writeEvent(ev, !reader.hasBuffered()); err != nil {
+		flush := !events.hasMore()
+		if err := events.write(func() error { return s.writeEvent(ev, flush) }); err != nil {
 			return errors.Mark(err, errClientWrite)
 		}
-		if reader.hasBuffered() || reader.hasEnded() || !seg.switchRequested() || at.conn.Await(s.endWait()) {
+		if !events.mayEnd() || !seg.switchRequested() || at.conn.Await(s.endWait()) {
 			continue
 		}
 		if s.prepareSwitch(seg) {
@@ -326,9 +349,13 @@
 }
 
 // recordSound records that a target has survived the begin of an answer: at the end of
-// the answer, or with an event that arrives later than soundRunTime after the first.
-func (s *streamRequest) recordSound(seg *segment, complete bool) {
-	now := time.Now()
+// the answer, or with an event that arrives later than soundRunTime after the first. The
+// event was read at readAt, now if that is zero.
+func (s *streamRequest) recordSound(seg *segment, complete bool, readAt time.Time) {
+	now := readAt
+	if now.IsZero() {
+		now = time.Now()
+	}
 	if seg.firstEventAt.IsZero() {
 		if complete {
 			return
@@ -418,6 +445,7 @@
 	}
 	s.lastEventAt = now
 	s.deliveredEvents++
+	s.resumption.delivered(s.lastEventID, ev)
 	if ev.id != "" {
 		s.lastEventID = ev.id
 	}
@@ -429,8 +457,9 @@
 
 // relayFailure responds to the client with the outcome of an attempt whose
 // response has a status other than 200 or is unsigned. If a response header was
-// already sent to the client, the stream fails instead.
-func (s *streamRequest) relayFailure(ctx context.Context, at *attempt) {
+// already sent to the client, the stream fails instead. A resumable stream may be sent to
+// another target after a failure, like an idempotent call.
+func (s *streamRequest) relayFailure(ctx context.Context, at *attempt) (segmentResult, error) {
 	buffered := s.g.responseBuffer.NewReader(at.resp.Body)
 	defer buffered.Release()
 	body, err := httpwire.ReadBody(buffered, maxResponseBytes)
@@ -438,11 +467,15 @@
 	if err == nil && !at.respMeta.Signed {
 		o.err = errUnsignedResponse
 	}
+	if s.req.route.Resumable && (o.err != nil || o.resp.StatusCode >= http.StatusInternalServerError) {
+		return segmentBroken, s.recordTargetFailure(ctx, &o)
+	}
 	if s.headerSent {
 		s.fail(ctx, at.target, errors.Newf("target responded with status %d", at.resp.StatusCode))
-		return
+		return segmentDone, nil
 	}
 	s.g.respondCall(ctx, s.w, s.req, o, 1)
+	return segmentDone, nil
 }
 
 func (s *streamRequest) recordEnd(t *registry.Target, outcome string, err error) {
