gateway: admit streams at engines by what can still be of use

Under overload, nothing was refused and urgent streams started at any load, so engines prefilled prompts whose clients had left.

decision.Admit now decides for each waiting stream whether it starts, starts late, waits or is refused.

--- a/decision/holdback_test.go
+++ b/decision/holdback_test.go
@@ -191,7 +191,7 @@
 			if !p.urgent && c.holdsBack {
 				limit = c.holdback.MaxBacklogTokens(p.work, &targets[i])
 			}
-			if c.engines[i].account.TryReserve(now, p.id, p.work.PromptTokens, p.work.KVTokens, limit, -1) {
+			if tryReserve(&c.engines[i].account, now, p.id, p.work.PromptTokens, p.work.KVTokens, limit, -1) {
 				return send(i)
 			}
 			targets[i].PrefillTokens = c.engines[i].account.PrefillTokens()
@@ -244,6 +244,10 @@
 	})
 }
 
+func tryReserve(r *Reservations, now time.Time, id string, promptTokens, kvTokens, maxPrefillTokens, maxKVTokens int) bool {
+	return r.TryReserve(now, &ReservationRequest{ID: id, PromptTokens: promptTokens, KVTokens: kvTokens, MaxPrefillTokens: maxPrefillTokens, MaxKVTokens: maxKVTokens})
+}
+
 // Guards against an account that counts requests which have ended, or that misses requests
 // which have not arrived yet.
 func TestReservations(t *testing.T) {
@@ -251,10 +255,10 @@
 	none := func(string) bool { return false }
 	convey.Convey("A granted request counts at once, until its first event", t, func() {
 		var r Reservations
-		convey.So(r.TryReserve(start, "a", 3000, 4000, 500, 9000), convey.ShouldBeTrue)
-		convey.So(r.TryReserve(start, "b", 3000, 4000, 500, 9000), convey.ShouldBeFalse)
-		convey.So(r.TryReserve(start, "b", 3000, 4000, 3000, 7000), convey.ShouldBeFalse)
-		convey.So(r.TryReserve(start, "b", 3000, 4000, 3000, 8000), convey.ShouldBeTrue)
+		convey.So(tryReserve(&r, start, "a", 3000, 4000, 500, 9000), convey.ShouldBeTrue)
+		convey.So(tryReserve(&r, start, "b", 3000, 4000, 500, 9000), convey.ShouldBeFalse)
+		convey.So(tryReserve(&r, start, "b", 3000, 4000, 3000, 7000), convey.ShouldBeFalse)
+		convey.So(tryReserve(&r, start, "b", 3000, 4000, 3000, 8000), convey.ShouldBeTrue)
 		convey.So(r.PrefillTokens(), convey.ShouldEqual, 6000)
 		r.Observe(start.Add(50*time.Millisecond), 0, 0, 0, none)
 		convey.So(r.PrefillTokens(), convey.ShouldEqual, 6000)
@@ -264,12 +268,12 @@
 	})
 	convey.Convey("Requests that end without an event are dropped, and those without a reservation are counted", t, func() {
 		var r Reservations
-		r.TryReserve(start, "a", 3000, 4000, -1, -1)
+		tryReserve(&r, start, "a", 3000, 4000, -1, -1)
 		r.Observe(start.Add(time.Second), 0, 0, 0, none)
 		convey.So(r.PrefillTokens(), convey.ShouldEqual, 0)
 		r.Observe(start.Add(time.Second), 2, 0, 0, none)
 		convey.So(r.PrefillTokens(), convey.ShouldEqual, 2*unreservedPromptTokens)
-		r.TryReserve(start, "c", 100, 100, -1, -1)
+		tryReserve(&r, start, "c", 100, 100, -1, -1)
 		r.Observe(start.Add(maxReservationAge+time.Second), 1, 0, 0, none)
 		convey.So(r.PrefillTokens(), convey.ShouldEqual, unreservedPromptTokens)
 	})
--- /dev/null
+++ b/decision/overload.go
@@ -0,0 +1,290 @@
+package decision
+
+import (
+	"hash/fnv"
+	"math"
+	"time"
+)
+
+// AdmissionAction is what happens to a stream that has not started.
+type AdmissionAction string
+
+// The actions of admission.
+const (
+	// AdmitOnTime starts a stream whose first event can meet its objective.
+	AdmitOnTime AdmissionAction = "start"
+	// AdmitLate starts a stream that can only be late, with capacity that no other work
+	// wants.
+	AdmitLate AdmissionAction = "start late"
+	// AdmitWait keeps a stream waiting in front of the engines.
+	AdmitWait AdmissionAction = "wait"
+	// AdmitRefuse gives a stream up.
+	AdmitRefuse AdmissionAction = "refuse"
+)
+
+// Reasons for which streams wait or are refused.
+const (
+	reasonNoRoom     = "no room at any target"
+	reasonClientGone = "the first event would come after the client has left"
+	reasonDeadline   = "the stream would not be complete by its deadline"
+	reasonQueue      = "the queue is too long"
+	reasonNoSpare    = "no spare capacity for late work"
+)
+
+// Parameters of admission under overload.
+const (
+	// calmSlotShare is the share of the slots in use below which nothing is refused as
+	// long as nothing waits; a refusal there is a fault.
+	calmSlotShare = 0.5
+	// calmBacklogTokens is the mean backlog of a target above which prompts queue at the
+	// engines: half a prompt, which is what an engine has left of a prompt in prefill.
+	calmBacklogTokens = 1300
+	// idleTokenMillis is the time to prefill one prompt token at an engine that decodes
+	// nothing: 14 tokens per millisecond.
+	idleTokenMillis = 1.0 / 14
+	// stepMillis is the shortest time between two events of a stream.
+	stepMillis = 7
+	// remainingShare is the part of the time left until the objective within which a
+	// prompt must be prefilled. The rest covers the error of the rates.
+	remainingShare = 0.85
+	// lateSlotShare and lateKVShare are the shares of a target's slots and KV cache up to
+	// which late work starts there. The rest is for work that can be on time.
+	lateSlotShare = 0.75
+	lateKVShare   = 0.75
+	// lateWaitShare is the part of the time between its objective and its last useful
+	// moment that late work waits for spare capacity. A client that is refused by then
+	// has time for another try.
+	lateWaitShare = 0.5
+	// maxRetryShare is the part of the remaining time up to which clients honour a retry
+	// delay.
+	maxRetryShare = 1.0 / 3
+	// minOverloadRetryAfter is the shortest retry delay under overload. Shorter ones
+	// return the client before the queue has changed.
+	minOverloadRetryAfter = 250 * time.Millisecond
+	// minClientPatience, objectivePatience and gapPatience define how long a client waits
+	// for an event: the longest of a fixed time, a multiple of the latency objective and a
+	// multiple of the objective for gaps.
+	minClientPatience = 2 * time.Second
+	objectivePatience = 4
+	gapPatience       = 8
+)
+
+// ClientPatience returns how long a client waits for the first event of a stream before it
+// disconnects.
+func ClientPatience(objective, gapObjective time.Duration) time.Duration {
+	return max(minClientPatience, objectivePatience*objective, gapPatience*gapObjective)
+}
+
+// AdmissionWork is a stream that has not started, at one moment. Times count from its
+// arrival.
+type AdmissionWork struct {
+	PlacementWork
+	// ID spreads retry delays.
+	ID        string
+	Waited    time.Duration
+	Objective time.Duration
+	// Patience is when the client leaves without a first event, Limit when the stream must
+	// be complete.
+	Patience time.Duration
+	Limit    time.Duration
+	// OutputTokens is the expected output, 0 if unknown.
+	OutputTokens int
+	// OverShare marks work beyond the usual share of its workspace.
+	OverShare bool
+	// Holdback is the rule that protects more urgent work, nil for the most urgent kind.
+	Holdback *Holdback
+}
+
+// LateAfter returns the wait after which the stream can be late only, even at an idle engine
+// at normal speed.
+func (w *AdmissionWork) LateAfter() time.Duration {
+	return w.Objective - millisDuration(idleTokenMillis*float64(w.PromptTokens))
+}
+
+// QueueAhead is the waiting work in front of a stream.
+type QueueAhead struct {
+	// Others is the number of other streams that wait in this process.
+	Others int
+	// Tokens are the prompts of the streams ahead, at all processes together.
+	Tokens int
+}
+
+// Room is a target at which a stream may start, with the limits of its reservation there; a
+// negative limit does not apply.
+type Room struct {
+	Index       int
+	MaxPrefill  int
+	MaxKVTokens int
+}
+
+// Admission is the decision about a stream at one moment, with the values that decided.
+type Admission struct {
+	Action AdmissionAction
+	Reason string
+	// Rooms are the targets at which the stream may start.
+	Rooms []Room
+	// Late is set if the stream can only be late or exceeds the share of its workspace: it
+	// gives way to other work.
+	Late bool
+	// Calm is set if the targets are not overloaded. A stream then starts after a bounded
+	// wait even if no target grants a reservation.
+	Calm bool
+	// RetryAfter is the delay after which a refused client can be served, 0 if it is not
+	// within the time that clients wait.
+	RetryAfter time.Duration
+	// Wait is the expected wait behind the work ahead, Prefill the shortest time from a
+	// start to the first event, Useful the time after which a first event has no value.
+	Wait, Prefill, Useful time.Duration
+}
+
+// targetTokenMillis estimates the time in which a target prefills one prompt token: it grows
+// with the number of streams that the target decodes.
+func targetTokenMillis(t *PlacementTarget) float64 {
+	batch := 0.0
+	if t.Slots > 0 {
+		batch = min(float64(max(t.DecodingStreams, 0))/float64(t.Slots), 1)
+	}
+	return (idleTokenMillis + (loadedTokenMillis-idleTokenMillis)*batch) * max(t.Slowdown, 1)
+}
+
+// Admit decides about a stream. Targets without a KV cache of known size, slots or slowdown
+// are not limited by these.
+func Admit(w *AdmissionWork, targets []PlacementTarget, ahead QueueAhead) Admission {
+	var a Admission
+	var requests, slots, backlog int
+	tokensPerMilli, fastest := 0.0, math.Inf(1)
+	earliest := math.Inf(1)
+	for i := range targets {
+		t := &targets[i]
+		requests += t.Requests
+		slots += t.Slots
+		backlog += t.PrefillTokens
+		if t.Unreachable {
+			continue
+		}
+		millis := targetTokenMillis(t)
+		tokensPerMilli += 1 / millis
+		fastest = min(fastest, millis)
+		earliest = min(earliest, millis*float64(t.PrefillTokens+w.PromptTokens))
+	}
+	a.Calm = ahead.Others == 0 && float64(requests) < calmSlotShare*float64(slots) && backlog < calmBacklogTokens*len(targets)
+	a.Useful = min(w.Patience, w.Limit-time.Duration(w.OutputTokens)*stepMillis*time.Millisecond)
+	if math.IsInf(earliest, 1) {
+		// No engine is known to answer, so there is nothing to estimate from.
+		a.Calm = true
+		earliest, tokensPerMilli = 0, math.Inf(1)
+	}
+	a.Prefill = millisDuration(earliest)
+	a.Wait = millisDuration(float64(ahead.Tokens) / tokensPerMilli)
+	lateAfter := w.Objective - millisDuration(fastest*float64(w.PromptTokens))
+	a.Late = w.Waited > lateAfter || w.OverShare
+	if !a.Calm {
+		if reason := a.refusal(w); reason != "" {
+			a.Action, a.Reason = AdmitRefuse, reason
+			a.RetryAfter = a.retryAfter(w)
+			return a
+		}
+	}
+	for i := range targets {
+		if room, ok := a.room(w, i, &targets[i]); ok {
+			a.Rooms = append(a.Rooms, room)
+		}
+	}
+	switch {
+	case len(a.Rooms) == 0:
+		a.Action, a.Reason = AdmitWait, reasonNoRoom
+	case a.Late:
+		a.Action = AdmitLate
+	default:
+		a.Action = AdmitOnTime
+	}
+	return a
+}
+
+func millisDuration(millis float64) time.Duration {
+	return time.Duration(min(millis, maxRetryAfter.Seconds()*1000) * float64(time.Millisecond))
+}
+
+// refusal returns why a stream cannot be of use any more, "" if it can.
+func (a *Admission) refusal(w *AdmissionWork) string {
+	switch {
+	case w.Waited+a.Prefill > a.Useful && a.Useful < w.Patience:
+		return reasonDeadline
+	case w.Waited+a.Prefill > a.Useful:
+		return reasonClientGone
+	case w.Waited+a.Wait+a.Prefill > a.Useful:
+		return reasonQueue
+	case w.Waited > w.Objective && w.Waited > w.Objective+time.Duration(lateWaitShare*float64(a.Useful-w.Objective)):
+		return reasonNoSpare
+	}
+	return ""
+}
+
+// retryAfter returns the delay after which the work ahead is done, with jitter, so that
+// clients that are refused together do not return together.
+func (a *Admission) retryAfter(w *AdmissionWork) time.Duration {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(w.ID))
+	after := time.Duration(float64(max(a.Wait, minOverloadRetryAfter)) * (1 + retryJitter*float64(h.Sum32())/math.MaxUint32))
+	if float64(after) > maxRetryShare*float64(w.Limit-w.Waited) {
+		return 0
+	}
+	return after
+}
+
+// noLimit is a limit of a reservation that does not apply.
+const noLimit = -1
+
+// room returns the limits at a target, and false if the target has no room according to its
+// load.
+func (a *Admission) room(w *AdmissionWork, index int, t *PlacementTarget) (Room, bool) {
+	r := Room{Index: index, MaxKVTokens: noLimit}
+	if t.Unreachable {
+		return r, false
+	}
+	switch {
+	case a.Calm && w.Holdback == nil:
+		r.MaxPrefill = MaxBacklogTokens(w.PlacementWork, w.Objective, t)
+	case a.Calm:
+		r.MaxPrefill = w.Holdback.MaxBacklogTokens(w.PlacementWork, t)
+	case a.Late:
+		h := w.Holdback
+		if h == nil {
+			h = &Holdback{UrgentObjective: w.Objective, UrgentPromptTokens: w.PromptTokens}
+		}
+		r.MaxPrefill = h.MaxBacklogTokens(w.PlacementWork, t)
+	default:
+		within := float64(min(time.Duration(ownShare*float64(w.Objective)), time.Duration(remainingShare*float64(w.Objective-w.Waited)))) / float64(time.Millisecond)
+		r.MaxPrefill = max(int(within/targetTokenMillis(t))-w.PromptTokens, 0)
+		if w.Holdback != nil {
+			r.MaxPrefill = min(r.MaxPrefill, w.Holdback.MaxBacklogTokens(w.PlacementWork, t))
+		}
+	}
+	slots := float64(t.Slots)
+	if t.KVCapacityTokens > 0 {
+		switch {
+		case a.Late && !a.Calm:
+			r.MaxKVTokens = int(lateKVShare * float64(t.KVCapacityTokens))
+			slots *= lateSlotShare
+		case w.Holdback != nil:
+			// One urgent prompt must find room beside held work.
+			r.MaxKVTokens = t.KVCapacityTokens - w.Holdback.UrgentPromptTokens
+		}
+	}
+	hasSlot := a.Calm || t.Slots == 0 || float64(t.Requests) < slots
+	fits := r.MaxKVTokens == noLimit || t.KVTokens+w.KVTokens <= r.MaxKVTokens
+	return r, hasSlot && fits && t.PrefillTokens <= r.MaxPrefill
+}
+
+// MayStartAnywhere reports whether a stream starts at any target although no reservation was
+// granted. It does only while the targets are not overloaded; busy states that a sidecar has
+// denied a reservation because of its backlog, which the load reports do not show yet.
+func (a *Admission) MayStartAnywhere(w *AdmissionWork, busy bool) bool {
+	if !a.Calm {
+		return false
+	}
+	if w.Holdback != nil {
+		return w.Holdback.MustStart(w.Waited, w.Objective, w.Limit)
+	}
+	return !busy || w.Waited > w.Objective/2
+}
--- a/decision/reservations.go
+++ b/decision/reservations.go
@@ -13,6 +13,8 @@
 	// prefilling the number of requests in prefill.
 	unreserved int
 	prefilling int
+	// deniedAt is when a reservation of work that is not late was last denied.
+	deniedAt time.Time
 	// kvTokens is the KV cache that the running requests need.
 	kvTokens int
 }
@@ -34,6 +36,9 @@
 	maxReservationAge = 15 * time.Second
 	// unreservedPromptTokens is the assumed prompt of a request without a reservation.
 	unreservedPromptTokens = 2600
+	// lateYield is how long late work gives way after a denied reservation of other work.
+	// It exceeds the time after which that work asks again.
+	lateYield = 250 * time.Millisecond
 )
 
 // Observe reconciles the account with a report of the engine: the number of requests that
@@ -88,15 +93,32 @@
 	return tokens
 }
 
-// TryReserve reserves for a request if at most maxPrefillTokens are to be prefilled before
-// it and the KV cache does not exceed maxKVTokens with it; a negative limit does not apply.
-func (r *Reservations) TryReserve(now time.Time, id string, promptTokens, kvTokens, maxPrefillTokens, maxKVTokens int) bool {
-	if maxPrefillTokens >= 0 && r.PrefillTokens() > maxPrefillTokens {
+// ReservationRequest is the request for a reservation. A negative limit does not apply.
+type ReservationRequest struct {
+	ID           string
+	PromptTokens int
+	KVTokens     int
+	// MaxPrefillTokens is the largest backlog before the request, MaxKVTokens the largest
+	// use of the KV cache with it.
+	MaxPrefillTokens int
+	MaxKVTokens      int
+	// Late marks work that gives way to work whose reservation was denied.
+	Late bool
+}
+
+// TryReserve reserves for a request if the engine is within the limits of the request.
+func (r *Reservations) TryReserve(now time.Time, in *ReservationRequest) bool {
+	if in.Late && now.Sub(r.deniedAt) < lateYield {
 		return false
 	}
-	if maxKVTokens >= 0 && r.KVTokens()+kvTokens > maxKVTokens {
+	full := in.MaxPrefillTokens >= 0 && r.PrefillTokens() > in.MaxPrefillTokens ||
+		in.MaxKVTokens >= 0 && r.KVTokens()+in.KVTokens > in.MaxKVTokens
+	if full {
+		if !in.Late {
+			r.deniedAt = now
+		}
 		return false
 	}
-	r.pending = append(r.pending, reservation{id: id, at: now, promptTokens: promptTokens, kvTokens: kvTokens})
+	r.pending = append(r.pending, reservation{id: in.ID, at: now, promptTokens: in.PromptTokens, kvTokens: in.KVTokens})
 	return true
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -109,6 +109,7 @@
 	responseBuffer *bufferlimit.Limit
 	bodies         *bodybudget.Budget
 	holdQueues     holdQueues
+	waitQueues     waitQueues
 }
 
 // New returns a gateway that is not yet serving.
@@ -126,6 +127,7 @@
 		responseBuffer: bufferlimit.New(maxBufferedBytes, freeBufferBytes),
 		bodies:         bodybudget.New(bodyMemoryBytes(opts.MemoryMB)),
 	}
+	gatewayMetrics.Gauge("streams_waiting", "Streams that wait for a target with room.", g.waitQueues.waiting.Load)
 	gatewayMetrics.Gauge("body_bytes", "Bytes that are held or reserved for the bodies of requests.", g.bodies.Used)
 	gatewayMetrics.Gauge("bodies_dropped", "Bodies that were let go after they had been sent, for the memory.", g.bodies.Dropped)
 	gatewayMetrics.Gauge("bodies_refused", "Bodies that got no memory.", g.bodies.Refused)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -35,6 +35,10 @@
 	triedTargets map[string]bool
 	// sentTo holds the addresses of the targets that may have received the request.
 	sentTo map[string]bool
+	// overShare is set if the request exceeds the usual share of its workspace. overloaded
+	// is the error of a request that was given up under overload.
+	overShare  bool
+	overloaded *result.Error
 }
 
 func (r *request) remaining(now time.Time) time.Duration { return r.deadline.Sub(now) }
--- a/gateway/holdback.go
+++ b/gateway/holdback.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/quetzalglade/quetzalglade/decision"
 	"github.com/quetzalglade/quetzalglade/registry"
+	"github.com/quetzalglade/quetzalglade/result"
 	"github.com/quetzalglade/quetzalglade/sidecar"
 	"github.com/quetzalglade/quetzalglade/telemetry"
 )
@@ -21,32 +24,49 @@
 	// reserveTimeout limits the request to a sidecar. It covers a round trip between
 	// regions.
 	reserveTimeout = 150 * time.Millisecond
+	// maxSearching is the number of waiting streams of a service that search at the same
+	// time. It exceeds the streams that all engines together start within maxRoomDelay and
+	// bounds the requests to the sidecars.
+	maxSearching = 8
 )
 
 // placeStream chooses the target of a stream. For an engine, it reserves at the target's
 // sidecar, which knows what all gateways send there; without the sidecar's response the
-// target is used all the same. A stream that is less urgent than other work of its service
-// waits for a target with room. placeStream returns nil if there is no target, ctx ends, or
-// the gateway stops while the stream waits.
+// target is used all the same. A stream without room waits, and it is refused if it can be of
+// no use any more. placeStream returns nil if there is no target, the stream is refused, ctx
+// ends, or the gateway stops while the stream waits.
 func (g *Gateway) placeStream(ctx context.Context, req *request) *registry.Target {
 	if req.service.Engine == nil || req.route.TargetLatency == 0 || g.opts.SidecarWatcher == nil {
 		return g.awaitTarget(ctx, req, req.triedTargets)
 	}
-	search := &roomSearch{g: g, req: req, work: req.placementWork(), holdback: g.holdback(req)}
+	search := g.newRoomSearch(req)
+	queue := g.waitQueues.of(req.service.Name)
+	queue.add(search.waiting)
+	defer queue.remove(search.waiting)
 	for {
+		position, ahead := queue.position(search.waiting)
+		ahead.Tokens *= max(g.members.Count(), 1)
 		targets, candidates := g.placementCandidates(req, req.triedTargets)
 		if len(targets) == 0 {
 			return g.awaitTarget(ctx, req, req.triedTargets)
 		}
-		if t := search.reserveAny(ctx, targets, candidates); t != nil {
-			search.logWait(t)
-			return t
+		search.update()
+		admission := decision.Admit(&search.work, candidates, ahead)
+		if admission.Action == decision.AdmitRefuse {
+			search.refuse(&admission, targets, ahead)
+			return nil
 		}
-		if search.holdback == nil || search.holdback.MustStart(time.Since(req.arrivedAt), req.route.TargetLatency, req.deadline.Sub(req.arrivedAt)) {
+		if position < maxSearching {
+			if t := search.reserveAny(ctx, targets, candidates, &admission); t != nil {
+				search.logStart(t, &admission, ahead)
+				return t
+			}
+		}
+		if admission.MayStartAnywhere(&search.work, search.busy) {
 			t := g.chooseTarget(req, req.triedTargets)
 			if t != nil {
-				search.reserve(ctx, t, unlimited, unlimited)
-				search.logWait(t)
+				search.reserve(ctx, t, &decision.Room{MaxPrefill: unlimited, MaxKVTokens: unlimited}, false)
+				search.logStart(t, &admission, ahead)
 			}
 			return t
 		}
@@ -56,7 +76,66 @@
 	}
 }
 
-// holdback returns the rule by which a request waits for room, nil if it never waits.
+// waitQueues holds the streams that wait for a target, and the loads of the workspaces, by
+// service.
+type waitQueues struct {
+	mu        sync.Mutex
+	byService map[string]*waitQueue
+	waiting   atomic.Int64
+}
+
+type waitQueue struct {
+	mu      sync.Mutex
+	streams decision.WaitQueue
+	shares  decision.UsualShares
+	waiting *atomic.Int64
+}
+
+func (q *waitQueues) of(service string) *waitQueue {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.byService == nil {
+		q.byService = map[string]*waitQueue{}
+	}
+	queue := q.byService[service]
+	if queue == nil {
+		queue = &waitQueue{waiting: &q.waiting}
+		q.byService[service] = queue
+	}
+	return queue
+}
+
+func (q *waitQueue) add(s *decision.WaitingStream) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.streams.Add(s, time.Now())
+	q.waiting.Add(1)
+}
+
+func (q *waitQueue) remove(s *decision.WaitingStream) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.streams.Remove(s)
+	q.waiting.Add(-1)
+}
+
+func (q *waitQueue) position(s *decision.WaitingStream) (int, decision.QueueAhead) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	position, tokens := q.streams.Position(s, time.Now())
+	return position, decision.QueueAhead{Others: q.streams.Len() - 1, Tokens: tokens}
+}
+
+// observeShare counts a request and reports whether it exceeds the usual share of its
+// workspace.
+func (q *waitQueue) observeShare(workspace string, promptTokens int) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.shares.Observe(time.Now(), workspace, promptTokens)
+}
+
+// holdback returns the rule by which a request waits for room, nil if it is of the most
+// urgent kind.
 func (g *Gateway) holdback(req *request) *decision.Holdback {
 	urgent := g.table.Load().MostUrgent(req.service.Name)
 	if urgent == nil || urgent.Priority >= req.route.Priority {
@@ -67,43 +146,59 @@
 
 // roomSearch is the search for a target with room for one stream.
 type roomSearch struct {
-	g    *Gateway
-	req  *request
-	work decision.PlacementWork
-	// holdback is nil for a stream that does not wait.
-	holdback *decision.Holdback
+	g       *Gateway
+	req     *request
+	work    decision.AdmissionWork
+	waiting *decision.WaitingStream
+	// busy is set if a sidecar has denied a reservation because of its backlog.
+	busy bool
 }
 
+func (g *Gateway) newRoomSearch(req *request) *roomSearch {
+	if len(req.triedTargets) == 0 {
+		req.overShare = g.waitQueues.of(req.service.Name).observeShare(req.workspace, req.PromptTokens)
+	}
+	s := &roomSearch{g: g, req: req, work: decision.AdmissionWork{
+		PlacementWork: req.placementWork(), ID: req.ID, Objective: req.route.TargetLatency,
+		Patience: decision.ClientPatience(req.route.TargetLatency, req.route.InterTokenTarget),
+		Limit:    req.deadline.Sub(req.arrivedAt), OutputTokens: min(req.OutputHint, req.MaxOutput),
+		OverShare: req.overShare, Holdback: g.holdback(req),
+	}}
+	s.waiting = &decision.WaitingStream{
+		Priority: req.route.Priority, ArrivedAt: req.arrivedAt, LateAt: req.arrivedAt.Add(s.work.LateAfter()),
+		PromptTokens: req.PromptTokens, OverShare: req.overShare,
+	}
+	s.update()
+	return s
+}
+
+// update sets how long the stream has waited.
+func (s *roomSearch) update() { s.work.Waited = time.Since(s.req.arrivedAt) }
+
 // unlimited is the limit of a reservation that is granted at any load.
 const unlimited = -1
 
-// room is a target that may have room, with the limits of a reservation there.
-type room struct {
-	target      *registry.Target
-	maxPrefill  int
-	maxKVTokens int
-}
-
 // reserveAny asks some of the targets that seem to have room for a reservation. It returns
 // the first one that grants it, nil if none does.
-func (s *roomSearch) reserveAny(ctx context.Context, targets []*registry.Target, candidates []decision.PlacementTarget) *registry.Target {
-	var rooms []room
+func (s *roomSearch) reserveAny(ctx context.Context, targets []*registry.Target, candidates []decision.PlacementTarget, admission *decision.Admission) *registry.Target {
+	var rooms []decision.Room
 	var loads []decision.PlacementTarget
-	costs := s.g.placementCosts.Shared(s.g.members.Count(), s.work)
-	acceptable := costs.Acceptable(s.work, candidates)
-	for i := range candidates {
-		if r, ok := s.room(targets[i], &candidates[i]); ok && acceptable[i] {
-			rooms, loads = append(rooms, r), append(loads, candidates[i])
+	work := s.work.PlacementWork
+	costs := s.g.placementCosts.Shared(s.g.members.Count(), work)
+	acceptable := costs.Acceptable(work, candidates)
+	for _, r := range admission.Rooms {
+		if acceptable[r.Index] {
+			rooms, loads = append(rooms, r), append(loads, candidates[r.Index])
 		}
 	}
 	for range maxReservationTries {
-		i := costs.Pick(s.work, loads, rand.Float64())
+		i := costs.Pick(work, loads, rand.Float64())
 		if i < 0 {
 			return nil
 		}
-		if s.reserve(ctx, rooms[i].target, rooms[i].maxPrefill, rooms[i].maxKVTokens) {
-			s.g.logPlacement(s.req, rooms[i].target, &loads[i], len(targets))
-			return rooms[i].target
+		if t := targets[rooms[i].Index]; s.reserve(ctx, t, &rooms[i], admission.Late && !admission.Calm) {
+			s.g.logPlacement(s.req, t, &loads[i], len(targets))
+			return t
 		}
 		last := len(rooms) - 1
 		rooms[i], loads[i] = rooms[last], loads[last]
@@ -112,32 +207,50 @@
 	return nil
 }
 
-// room returns the limits of a reservation at a target, and false if the target has no room
-// according to its last report.
-func (s *roomSearch) room(t *registry.Target, load *decision.PlacementTarget) (room, bool) {
-	r := room{target: t, maxKVTokens: unlimited}
-	if s.holdback == nil {
-		r.maxPrefill = decision.MaxBacklogTokens(s.work, s.req.route.TargetLatency, load)
-	} else {
-		r.maxPrefill = s.holdback.MaxBacklogTokens(s.work, load)
-		if load.KVCapacityTokens > 0 {
-			r.maxKVTokens = load.KVCapacityTokens
+// logStart counts the start of a stream and logs it if it has waited for room.
+func (s *roomSearch) logStart(t *registry.Target, a *decision.Admission, ahead decision.QueueAhead) {
+	action, reason := decision.AdmitOnTime, "overload"
+	if a.Late && !s.work.OverShare {
+		action = decision.AdmitLate
+	}
+	if a.Calm {
+		reason = "calm"
+	}
+	s.g.metrics.recordAdmission(s.req.route.Name, action, reason)
+	if waited := time.Since(s.req.arrivedAt); waited > minRoomDelay {
+		telemetry.Info(s.g.opts.Logger, "started after a wait", append(s.fields(a, ahead), "target", t.ID, "decision", action, "waited_ms", waited.Milliseconds())...)
+	}
+}
+
+// refuse gives a stream up. The values that decided are in the log.
+func (s *roomSearch) refuse(a *decision.Admission, targets []*registry.Target, ahead decision.QueueAhead) {
+	s.g.metrics.recordAdmission(s.req.route.Name, a.Action, a.Reason)
+	s.req.overloaded = result.New(result.Overloaded, result.RanNo, "%s", a.Reason).RetryAfter(a.RetryAfter)
+	now := time.Now()
+	var oldest time.Duration
+	reported := 0
+	for _, t := range targets {
+		if r := t.Load.Report(now, maxLoadReportAge); r != nil {
+			reported++
+			oldest = max(oldest, now.Sub(r.ReceivedAt))
 		}
 	}
-	fits := r.maxKVTokens == unlimited || load.KVTokens+s.work.KVTokens <= r.maxKVTokens
-	return r, fits && !load.Unreachable && load.PrefillTokens <= r.maxPrefill
+	telemetry.Info(s.g.opts.Logger, "given up", append(s.fields(a, ahead), "reason", a.Reason, "waited_ms", s.work.Waited.Milliseconds(),
+		"retry_after_ms", a.RetryAfter.Milliseconds(), "targets", len(targets), "reported", reported, "oldest_report_ms", oldest.Milliseconds())...)
 }
 
-// logWait logs the start of a stream that has waited for room.
-func (s *roomSearch) logWait(t *registry.Target) {
-	if waited := time.Since(s.req.arrivedAt); waited > minRoomDelay {
-		telemetry.Info(s.g.opts.Logger, "started after a wait", "request", s.req.ID, "route", s.req.route.Name, "target", t.ID, "held", s.holdback != nil, "waited_ms", waited.Milliseconds())
+// fields returns the values that decide about a stream, for the log.
+func (s *roomSearch) fields(a *decision.Admission, ahead decision.QueueAhead) []any {
+	return []any{
+		"request", s.req.ID, "route", s.req.route.Name, "workspace", s.req.workspace, "held", s.work.Holdback != nil, "late", a.Late, "calm", a.Calm,
+		"over_share", s.work.OverShare, "wait_ms", a.Wait.Milliseconds(), "prefill_ms", a.Prefill.Milliseconds(), "useful_ms", a.Useful.Milliseconds(),
+		"tokens_ahead", ahead.Tokens, "waiting", ahead.Others, "members", s.g.members.Count(),
 	}
 }
 
 // reserve reserves for a request at the sidecar of a target. It reports false only if the
 // sidecar denies it.
-func (s *roomSearch) reserve(ctx context.Context, t *registry.Target, maxPrefill, maxKVTokens int) bool {
+func (s *roomSearch) reserve(ctx context.Context, t *registry.Target, room *decision.Room, late bool) bool {
 	if t.Load.Report(time.Now(), maxLoadReportAge) == nil {
 		return true
 	}
@@ -147,15 +260,17 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
-	result, err := s.g.opts.SidecarWatcher.Reserve(ctx, addr, &sidecar.Reservation{
-		RequestID: s.req.ID, PromptTokens: s.work.PromptTokens, KVTokens: s.work.KVTokens, MaxPrefillTokens: maxPrefill, MaxKVTokens: maxKVTokens,
+	reservation, err := s.g.opts.SidecarWatcher.Reserve(ctx, addr, &sidecar.Reservation{
+		RequestID: s.req.ID, PromptTokens: s.work.PromptTokens, KVTokens: s.work.KVTokens,
+		MaxPrefillTokens: room.MaxPrefill, MaxKVTokens: room.MaxKVTokens, Late: late,
 	})
 	if err != nil {
 		telemetry.Info(s.g.opts.Logger, "reservation failed", "request", s.req.ID, "target", t.ID, "err", err)
 		return true
 	}
-	if result.Report != nil && !result.Granted {
-		t.Load.RaiseBacklog(result.Report.PrefillTokens)
+	if reservation.Report != nil && !reservation.Granted {
+		t.Load.RaiseBacklog(reservation.Report.PrefillTokens)
+		s.busy = s.busy || room.MaxPrefill != unlimited && reservation.Report.PrefillTokens > room.MaxPrefill
 	}
-	return result.Granted
+	return reservation.Granted
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -8,6 +8,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"github.com/quetzalglade/quetzalglade/decision"
 	"github.com/quetzalglade/quetzalglade/telemetry"
 )
 
@@ -17,6 +18,7 @@
 	responses       metric.Int64Counter
 	attempts        metric.Int64Counter
 	holds           metric.Int64Counter
+	admissions      metric.Int64Counter
 	sourceStops     metric.Int64Counter
 	firstByte       metric.Float64Histogram
 	requestDuration metric.Float64Histogram
@@ -36,6 +38,7 @@
 		responses:       base.Counter("answers", "Answers to clients by route, status and outcome."),
 		attempts:        base.Counter("attempts", "Attempts at targets by service and outcome."),
 		holds:           base.Counter("target_holds", "Times that a target turned a request away and wanted no further ones for some time, by service."),
+		admissions:      base.Counter("admissions", "Decisions about streams at inference engines by route, decision and reason."),
 		sourceStops:     base.Counter("source_stops", "Calls that stop a request at its source before it continues elsewhere, by service and whether the source confirmed the stop."),
 		firstByte:       base.DurationHistogram("first_byte", "Time to the first byte of a target's answer.", latencyBounds...),
 		requestDuration: base.DurationHistogram("request", "Time to the end of an answer.", latencyBounds...),
@@ -58,6 +61,10 @@
 	m.holds.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
 }
 
+func (m *metrics) recordAdmission(route string, action decision.AdmissionAction, reason string) {
+	m.admissions.Add(context.Background(), 1, metric.WithAttributes(attribute.String("route", route), attribute.String("decision", string(action)), attribute.String("reason", reason)))
+}
+
 func (m *metrics) recordSourceStop(service string, confirmed bool) {
 	m.sourceStops.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.Bool("confirmed", confirmed)))
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -193,6 +193,10 @@
 		s.g.respondError(s.w, s.req, stoppingError())
 		return
 	}
+	if s.req.overloaded != nil {
+		s.g.respondError(s.w, s.req, s.req.overloaded)
+		return
+	}
 	s.g.respondError(s.w, s.req, s.g.unavailableError(s.req, result.New(result.NoTarget, result.RanNo, "no target takes this").RetryAfter(noTargetRetryAfter)))
 }
 
--- a/sidecar/reserve.go
+++ b/sidecar/reserve.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/quetzalglade/quetzalglade/decision"
 	"github.com/quetzalglade/quetzalglade/internal/httpclient"
 )
 
@@ -28,6 +29,9 @@
 	// granted, MaxKVTokens the largest use of the KV cache with the request.
 	MaxPrefillTokens int `json:"max_backlog"`
 	MaxKVTokens      int `json:"max_memory"`
+	// Late is set for work that can only be late or exceeds the share of its workspace. It
+	// gives way to work whose reservation was denied.
+	Late bool `json:"late,omitempty"`
 }
 
 // ReservationResult is the response to a Reservation. Report is the engine's load, nil if
@@ -81,7 +85,9 @@
 		return ReservationResult{}
 	}
 	report := *s.latest.Report
-	granted := !report.Draining && s.reservations.TryReserve(time.Now(), in.RequestID, in.PromptTokens, in.KVTokens, in.MaxPrefillTokens, in.MaxKVTokens)
+	granted := !report.Draining && s.reservations.TryReserve(time.Now(), &decision.ReservationRequest{
+		ID: in.RequestID, PromptTokens: in.PromptTokens, KVTokens: in.KVTokens, MaxPrefillTokens: in.MaxPrefillTokens, MaxKVTokens: in.MaxKVTokens, Late: in.Late,
+	})
 	report.PrefillTokens = s.reservations.PrefillTokens()
 	report.Requests = nil
 	return ReservationResult{Granted: granted, Report: &report}
