decision: let late work give way to waiting work that can be on time

Late work now waits while work that can be on time waits, streams whose time is tight come after others of their priority, and the usual share counts only work within it.

--- a/decision/overload.go
+++ b/decision/overload.go
@@ -25,6 +25,7 @@
 // Reasons for which streams wait or are refused.
 const (
 	reasonNoRoom     = "no room at any target"
+	reasonGivesWay   = "the capacity is wanted by work that can be on time"
 	reasonClientGone = "the first event would come after the client has left"
 	reasonDeadline   = "the stream would not be complete by its deadline"
 	reasonQueue      = "the queue is too long"
@@ -101,10 +102,18 @@
 	return w.Objective - millisDuration(idleTokenMillis*float64(w.PromptTokens))
 }
 
+// TightAfter returns the wait after which the stream can be on time only at an engine without
+// another prompt before it.
+func (w *AdmissionWork) TightAfter() time.Duration {
+	return max(w.Objective-millisDuration(2*loadedTokenMillis*float64(w.PromptTokens)), 0)
+}
+
 // QueueAhead is the waiting work in front of a stream.
 type QueueAhead struct {
 	// Others is the number of other streams that wait in this process.
 	Others int
+	// OnTime is the number of those that can be on time and are ahead of the stream.
+	OnTime int
 	// Tokens are the prompts of the streams ahead, at all processes together.
 	Tokens int
 }
@@ -185,6 +194,10 @@
 			return a
 		}
 	}
+	if a.Late && !a.Calm && ahead.OnTime > 0 {
+		a.Action, a.Reason = AdmitWait, reasonGivesWay
+		return a
+	}
 	for i := range targets {
 		if room, ok := a.room(w, i, &targets[i]); ok {
 			a.Rooms = append(a.Rooms, room)
--- a/decision/usualshare.go
+++ b/decision/usualshare.go
@@ -16,17 +16,22 @@
 	at          time.Time
 }
 
-// workspaceLoad is load in prompt tokens, decayed with the two time constants. regular is the
-// part of the recent load that was within the share.
-type workspaceLoad struct{ recent, regular, usual float64 }
+// workspaceLoad is load within the share in prompt tokens, decayed with the two time
+// constants.
+type workspaceLoad struct{ recent, usual float64 }
+
+func (l *workspaceLoad) add(tokens float64) {
+	l.recent += tokens
+	l.usual += tokens
+}
 
 const (
 	// recentTime is the time constant of recent load: long enough for a process that
 	// receives one stream in three seconds from a workspace, short against a burst.
 	recentTime = 5 * time.Second
-	// usualTime is the time constant of the usual share: a burst of ten seconds changes it
-	// by less than a tenth.
-	usualTime = 2 * time.Minute
+	// usualTime is the time constant of the usual share. With two minutes, a burst of eight
+	// seconds doubled the share of the workspace that sent it.
+	usualTime = 10 * time.Minute
 	// shareFactor is the multiple of its usual share that a workspace may use.
 	shareFactor = 2.0
 	// shareSlackTokens is what a workspace may use in addition: three prompts, since few
@@ -52,14 +57,11 @@
 	if load.usual > 0 {
 		share = load.usual / u.total.usual
 	}
-	load.recent += tokens
-	load.usual += tokens
-	u.total.recent += tokens
-	u.total.usual += tokens
-	if len(u.byWorkspace) > 1 && load.regular+tokens > shareFactor*share*u.total.recent+shareSlackTokens {
+	if len(u.byWorkspace) > 1 && load.recent+tokens > shareFactor*share*(u.total.recent+tokens)+shareSlackTokens {
 		return true
 	}
-	load.regular += tokens
+	load.add(tokens)
+	u.total.add(tokens)
 	return false
 }
 
@@ -81,6 +83,5 @@
 
 func (l *workspaceLoad) decay(recent, usual float64) {
 	l.recent *= recent
-	l.regular *= recent
 	l.usual *= usual
 }
--- a/decision/waitqueue.go
+++ b/decision/waitqueue.go
@@ -11,18 +11,22 @@
 	// Priority is the priority; 0 is the most urgent.
 	Priority  int
 	ArrivedAt time.Time
-	// LateAt is when the stream can no longer meet its objective.
+	// TightAt is when the stream can meet its objective only at an idle engine, LateAt when
+	// it cannot meet it at all.
+	TightAt      time.Time
 	LateAt       time.Time
 	PromptTokens int
 	// OverShare marks work beyond the usual share of its workspace.
 	OverShare bool
 
-	position    int
-	tokensAhead int
+	position int
+	ahead    QueueAhead
 }
 
 // WaitQueue orders the streams that wait in one process for an engine: first those that can
-// meet their objective, then by priority and by age. It is not safe for concurrent use.
+// meet their objective, then by priority and by age. Streams whose time is tight come after
+// others of their priority: in the order of age alone, a long queue would serve each stream
+// when its time is nearly up, and most of them too late. It is not safe for concurrent use.
 type WaitQueue struct {
 	streams  []*WaitingStream
 	sortedAt time.Time
@@ -32,29 +36,50 @@
 // two searches of one stream, and long enough for the queue of 2000 streams to cost little.
 const sortPeriod = 25 * time.Millisecond
 
+// canBeOnTime reports whether a stream has a claim to be on time.
+func (s *WaitingStream) canBeOnTime(now time.Time) bool {
+	return !s.OverShare && !now.After(s.LateAt)
+}
+
 // compareWaiting orders two waiting streams.
 func compareWaiting(a, b *WaitingStream, now time.Time) int {
-	class := func(s *WaitingStream) int {
-		if s.OverShare || now.After(s.LateAt) {
+	if onTime := a.canBeOnTime(now); onTime != b.canBeOnTime(now) {
+		if onTime {
+			return -1
+		}
+		return 1
+	}
+	if order := cmp.Compare(a.Priority, b.Priority); order != 0 {
+		return order
+	}
+	if tight := now.After(a.TightAt); tight != now.After(b.TightAt) {
+		if tight {
 			return 1
 		}
-		return 0
+		return -1
 	}
-	return cmp.Or(cmp.Compare(class(a), class(b)), cmp.Compare(a.Priority, b.Priority), a.ArrivedAt.Compare(b.ArrivedAt))
+	return a.ArrivedAt.Compare(b.ArrivedAt)
 }
 
 // Add adds a stream and determines its position.
 func (q *WaitQueue) Add(s *WaitingStream, now time.Time) {
-	s.position, s.tokensAhead = 0, 0
+	s.position, s.ahead = 0, QueueAhead{}
 	for _, other := range q.streams {
 		if compareWaiting(other, s, now) <= 0 {
 			s.position++
-			s.tokensAhead += other.PromptTokens
+			s.ahead.add(other, now)
 		}
 	}
 	q.streams = append(q.streams, s)
 }
 
+func (a *QueueAhead) add(s *WaitingStream, now time.Time) {
+	a.Tokens += s.PromptTokens
+	if s.canBeOnTime(now) {
+		a.OnTime++
+	}
+}
+
 // Remove removes a stream.
 func (q *WaitQueue) Remove(s *WaitingStream) {
 	if i := slices.Index(q.streams, s); i >= 0 {
@@ -62,20 +87,20 @@
 	}
 }
 
-// Len returns the number of waiting streams.
-func (q *WaitQueue) Len() int { return len(q.streams) }
-
-// Position returns the number of streams ahead of s and the sum of their prompts, at most
-// sortPeriod old.
-func (q *WaitQueue) Position(s *WaitingStream, now time.Time) (position, tokensAhead int) {
+// Position returns the number of streams ahead of s, and what they are, for processes that
+// each have such a queue. The result is at most sortPeriod old.
+func (q *WaitQueue) Position(s *WaitingStream, processes int, now time.Time) (int, QueueAhead) {
 	if now.Sub(q.sortedAt) >= sortPeriod {
 		q.sortedAt = now
 		slices.SortStableFunc(q.streams, func(a, b *WaitingStream) int { return compareWaiting(a, b, now) })
-		tokens := 0
+		var ahead QueueAhead
 		for i, other := range q.streams {
-			other.position, other.tokensAhead = i, tokens
-			tokens += other.PromptTokens
+			other.position, other.ahead = i, ahead
+			ahead.add(other, now)
 		}
 	}
-	return s.position, s.tokensAhead
+	ahead := s.ahead
+	ahead.Others = len(q.streams) - 1
+	ahead.Tokens *= max(processes, 1)
+	return s.position, ahead
 }
--- a/gateway/holdback.go
+++ b/gateway/holdback.go
@@ -44,8 +44,7 @@
 	queue.add(search.waiting)
 	defer queue.remove(search.waiting)
 	for {
-		position, ahead := queue.position(search.waiting)
-		ahead.Tokens *= max(g.members.Count(), 1)
+		position, ahead := queue.position(search.waiting, g.members.Count())
 		targets, candidates := g.placementCandidates(req, req.triedTargets)
 		if len(targets) == 0 {
 			return g.awaitTarget(ctx, req, req.triedTargets)
@@ -119,11 +118,10 @@
 	q.waiting.Add(-1)
 }
 
-func (q *waitQueue) position(s *decision.WaitingStream) (int, decision.QueueAhead) {
+func (q *waitQueue) position(s *decision.WaitingStream, members int) (int, decision.QueueAhead) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	position, tokens := q.streams.Position(s, time.Now())
-	return position, decision.QueueAhead{Others: q.streams.Len() - 1, Tokens: tokens}
+	return q.streams.Position(s, members, time.Now())
 }
 
 // observeShare counts a request and reports whether it exceeds the usual share of its
@@ -165,8 +163,8 @@
 		OverShare: req.overShare, Holdback: g.holdback(req),
 	}}
 	s.waiting = &decision.WaitingStream{
-		Priority: req.route.Priority, ArrivedAt: req.arrivedAt, LateAt: req.arrivedAt.Add(s.work.LateAfter()),
-		PromptTokens: req.PromptTokens, OverShare: req.overShare,
+		Priority: req.route.Priority, ArrivedAt: req.arrivedAt, TightAt: req.arrivedAt.Add(s.work.TightAfter()),
+		LateAt: req.arrivedAt.Add(s.work.LateAfter()), PromptTokens: req.PromptTokens, OverShare: req.overShare,
 	}
 	s.update()
 	return s
