--- a/decision/overload.go
+++ b/decision/overload.go
@@ -167,13 +167,10 @@
 	return (idleTokenMillis + (loadedTokenMillis-idleTokenMillis)*batch) * max(t.Slowdown, 1)
 }
 
-// Admit decides about a stream. Targets without a KV cache of known size, slots or slowdown
-// are not limited by these.
-func Admit(w *AdmissionWork, targets []PlacementTarget, ahead QueueAhead) Admission {
-	var a Admission
+// forecast sets the values that decide, except for the rooms.
+func (a *Admission) forecast(w *AdmissionWork, targets []PlacementTarget, ahead QueueAhead) {
 	var requests, slots, backlog int
-	tokensPerMilli, fastest := 0.0, math.Inf(1)
-	earliest := math.Inf(1)
+	tokensPerMilli, fastest, earliest := 0.0, math.Inf(1), math.Inf(1)
 	for i := range targets {
 		t := &targets[i]
 		requests += t.Requests
@@ -193,7 +190,7 @@
 	if math.IsInf(earliest, 1) {
 		// No engine is known to answer, so there is nothing to estimate from.
 		a.Calm = true
-		earliest, tokensPerMilli = 0, math.Inf(1)
+		earliest, fastest, tokensPerMilli = 0, idleTokenMillis, math.Inf(1)
 	}
 	a.Prefill = millisDuration(earliest)
 	// While the engines are quiet, a queue here is that of this process alone.
@@ -202,8 +199,14 @@
 		queued *= float64(max(ahead.Processes, 1))
 	}
 	a.Wait = millisDuration(queued / tokensPerMilli)
-	lateAfter := w.Objective - millisDuration(fastest*float64(w.PromptTokens))
-	a.Late = w.Waited > lateAfter || w.OverShare
+	a.Late = w.OverShare || w.Waited > w.Objective-millisDuration(fastest*float64(w.PromptTokens))
+}
+
+// Admit decides about a stream. Targets without a KV cache of known size, slots or slowdown
+// are not limited by these.
+func Admit(w *AdmissionWork, targets []PlacementTarget, ahead QueueAhead) Admission {
+	a := Admission{Action: AdmitWait}
+	a.forecast(w, targets, ahead)
 	if !a.Calm {
 		if reason := a.refusal(w); reason != "" {
 			a.Action, a.Reason = AdmitRefuse, reason
@@ -213,10 +216,10 @@
 	}
 	switch {
 	case ahead.Ahead >= MaxSearching:
-		a.Action, a.Reason = AdmitWait, reasonBehind
+		a.Reason = reasonBehind
 		return a
 	case a.Late && !a.Calm && ahead.OnTime > 0:
-		a.Action, a.Reason = AdmitWait, reasonGivesWay
+		a.Reason = reasonGivesWay
 		return a
 	}
 	a.Rooms = make([]Room, 0, len(targets))
@@ -227,7 +230,7 @@
 	}
 	switch {
 	case len(a.Rooms) == 0:
-		a.Action, a.Reason = AdmitWait, reasonNoRoom
+		a.Reason = reasonNoRoom
 	case a.Late:
 		a.Action = AdmitLate
 	default:
--- a/decision/overload_test.go
+++ b/decision/overload_test.go
@@ -17,18 +17,20 @@
 	// peak is the load of the burst as a multiple of the capacity. hog makes one workspace
 	// send 8 times its usual share, retry makes clients return at once, leave makes a third
 	// of the engines leave in the middle of the burst.
-	peak               float64
-	hog, retry, leave  bool
-	admits             bool
-	engines            []*surgeEngine
-	queues             []*surgeQueue
-	rng                *rand.Rand
-	now                time.Time
-	tick               int
-	waiting            []*surgeStream
-	onTimePerSecond    [surgeSeconds]float64
-	arrived, onTime    [2][surgeSeconds]float64
-	hogs, others       struct{ arrived, onTime float64 }
+	peak              float64
+	hog, retry, leave bool
+	admits            bool
+	engines           []*surgeEngine
+	queues            []*surgeQueue
+	rng               *rand.Rand
+	now               time.Time
+	tick              int
+	waiting           []*surgeStream
+	onTimePerSecond   [surgeSeconds]float64
+	arrived, onTime   [2][surgeSeconds]float64
+	// inBurst counts the streams of the burst that arrived and that were on time: those of
+	// other workspaces and of the one at 8 times its share.
+	inBurst            [2]struct{ arrived, onTime float64 }
 	late, refused      int
 	wasted, maxWaiting int
 }
@@ -56,9 +58,11 @@
 type surgeStream struct {
 	id        string
 	kind      int
-	hog       bool
+	hog       int
 	retries   int
+	workspace int
 	arrived   time.Time
+	second    int
 	work      AdmissionWork
 	waiting   *WaitingStream
 	gateway   int
@@ -68,6 +72,8 @@
 	started   bool
 }
 
+func (st *surgeStream) inBurst() bool { return st.second >= surgeStart && st.second < surgeEnd }
+
 type surgeQueue struct {
 	streams WaitQueue
 	shares  UsualShares
@@ -144,25 +150,12 @@
 		return
 	}
 	s.onTimePerSecond[s.tick/ticksPerSecond]++
-	s.onTime[st.kind][s.second(st)]++
-	if s.second(st) >= surgeStart && s.second(st) < surgeEnd {
-		if st.hog {
-			s.hogs.onTime++
-		} else {
-			s.others.onTime++
-		}
+	s.onTime[st.kind][st.second]++
+	if st.inBurst() {
+		s.inBurst[st.hog].onTime++
 	}
 }
 
-// second returns the second in which a stream arrived.
-func (s *surge) second(st *surgeStream) int {
-	return int(surgeSeconds - (s.endsAt().Sub(st.arrived)+time.Second-1)/time.Second)
-}
-
-func (s *surge) endsAt() time.Time {
-	return s.now.Add(time.Duration(surgeSeconds*ticksPerSecond-s.tick) * surgeTick)
-}
-
 // arrive adds the streams that arrive in a tick.
 func (s *surge) arrive() {
 	second := s.tick / ticksPerSecond
@@ -191,7 +184,10 @@
 }
 
 func (s *surge) add(kind, workspace, retries int, used time.Duration) {
-	st := &surgeStream{id: fmt.Sprint(s.tick, "-", s.rng.Uint32()), kind: kind, hog: s.hog && workspace == 0, retries: retries, arrived: s.now, nextTry: s.now, gateway: s.rng.IntN(s.gateways)}
+	st := &surgeStream{id: fmt.Sprint(s.tick, "-", s.rng.Uint32()), kind: kind, retries: retries, workspace: workspace, arrived: s.now, second: s.tick / ticksPerSecond, nextTry: s.now, gateway: s.rng.IntN(s.gateways)}
+	if s.hog && workspace == 0 {
+		st.hog = 1
+	}
 	st.work = AdmissionWork{ID: st.id, Objective: 1500 * time.Millisecond, Limit: 6*time.Second - used, OutputTokens: 3}
 	st.work.PromptTokens = 2200
 	if kind == 1 {
@@ -207,13 +203,9 @@
 	st.waiting = &WaitingStream{Priority: kind, ArrivedAt: s.now, TightAt: s.now.Add(st.work.TightAfter()), LateAt: s.now.Add(st.work.LateAfter()), PromptTokens: st.work.PromptTokens, OverShare: st.work.OverShare}
 	q.streams.Add(st.waiting, s.now)
 	s.waiting = append(s.waiting, st)
-	s.arrived[kind][s.second(st)]++
-	if second := s.second(st); second >= surgeStart && second < surgeEnd {
-		if st.hog {
-			s.hogs.arrived++
-		} else {
-			s.others.arrived++
-		}
+	s.arrived[kind][st.second]++
+	if st.inBurst() {
+		s.inBurst[st.hog].arrived++
 	}
 }
 
@@ -301,11 +293,7 @@
 func (s *surge) refuse(st *surgeStream) {
 	s.refused++
 	if s.retry && st.retries == 0 {
-		workspace := 1 + s.rng.IntN(surgeWorkspaces-1)
-		if st.hog {
-			workspace = 0
-		}
-		s.add(st.kind, workspace, 1, s.now.Sub(st.arrived))
+		s.add(st.kind, st.workspace, 1, s.now.Sub(st.arrived))
 	}
 }
 
@@ -371,6 +359,11 @@
 	return onTime / max(arrived, 1)
 }
 
+// workspaceShare returns the share of the streams of the burst that were on time.
+func (s *surge) workspaceShare(hog int) float64 {
+	return s.inBurst[hog].onTime / max(s.inBurst[hog].arrived, 1)
+}
+
 // perSecond returns the goodput in [from, to), in streams per second.
 func (s *surge) perSecond(from, to int) float64 {
 	sum := 0.0
@@ -398,7 +391,7 @@
 	return fmt.Sprintf("goodput before %.0f burst %.0f after %.0f; urgent/long on time in the burst %.2f/%.2f after %.2f/%.2f; late %d refused %d wasted %d; others %.2f hog %.2f; waiting %d",
 		s.perSecond(2, surgeStart), s.perSecond(surgeStart, surgeEnd), s.perSecond(surgeEnd+2, surgeEnd+6), s.share(0, surgeStart, surgeEnd), s.share(1, surgeStart, surgeEnd),
 		s.share(0, surgeEnd+2, surgeEnd+5), s.share(1, surgeEnd+2, surgeEnd+5), s.late, s.refused, s.wasted,
-		s.others.onTime/max(s.others.arrived, 1), s.hogs.onTime/max(s.hogs.arrived, 1), s.maxWaiting)
+		s.workspaceShare(0), s.workspaceShare(1), s.maxWaiting)
 }
 
 // Guards against a burst in which engines prefill prompts in the order of their arrival, so
@@ -441,7 +434,7 @@
 			convey.Convey(fmt.Sprint(p.name, ", gateways: ", gateways), t, func() {
 				if i == 0 {
 					convey.So(w.refused, convey.ShouldEqual, 0)
-					convey.So(w.others.onTime/w.others.arrived, convey.ShouldBeGreaterThan, 0.95)
+					convey.So(w.workspaceShare(0), convey.ShouldBeGreaterThan, 0.95)
 					return
 				}
 				convey.So(w.lowest(atCapacity), convey.ShouldBeGreaterThanOrEqualTo, 0.9)
@@ -453,7 +446,7 @@
 					convey.So(b.perSecond(surgeEnd+2, surgeEnd+6), convey.ShouldBeLessThan, 0.5*usualLoad*capacityRate)
 				}
 				if p.hog {
-					convey.So(w.others.onTime/w.others.arrived, convey.ShouldBeGreaterThan, w.hogs.onTime/w.hogs.arrived)
+					convey.So(w.workspaceShare(0), convey.ShouldBeGreaterThan, w.workspaceShare(1))
 				}
 			})
 		}
--- a/decision/overloadbench_test.go
+++ b/decision/overloadbench_test.go
@@ -37,7 +37,7 @@
 		for b.Loop() {
 			a := Admit(&work, targets, QueueAhead{Others: streams})
 			acceptable := costs.Acceptable(work.PlacementWork, targets)
-			var loads []PlacementTarget
+			loads := make([]PlacementTarget, 0, len(a.Rooms))
 			for _, r := range a.Rooms {
 				if acceptable[r.Index] {
 					loads = append(loads, targets[r.Index])
--- a/gateway/holdback.go
+++ b/gateway/holdback.go
@@ -52,14 +52,14 @@
 			return nil
 		}
 		if t := search.reserveAny(ctx, targets, candidates, &admission); t != nil {
-			search.logStart(t, &admission, ahead)
+			search.logStart(t, &admission, targets, ahead)
 			return t
 		}
 		if admission.MayStartAnywhere(&search.work, search.busy) {
 			t := g.chooseTarget(req, req.triedTargets)
 			if t != nil {
 				search.reserve(ctx, t, &decision.Room{MaxPrefill: unlimited, MaxKVTokens: unlimited}, false)
-				search.logStart(t, &admission, ahead)
+				search.logStart(t, &admission, targets, ahead)
 			}
 			return t
 		}
@@ -200,8 +200,8 @@
 	if len(admission.Rooms) == 0 {
 		return nil
 	}
-	var rooms []decision.Room
-	var loads []decision.PlacementTarget
+	rooms := make([]decision.Room, 0, len(admission.Rooms))
+	loads := make([]decision.PlacementTarget, 0, len(admission.Rooms))
 	work := s.work.PlacementWork
 	costs := s.g.placementCosts.Shared(s.g.members.Count(), work)
 	acceptable := costs.Acceptable(work, candidates)
@@ -227,7 +227,7 @@
 }
 
 // logStart counts the start of a stream and logs it if it has waited for room.
-func (s *roomSearch) logStart(t *registry.Target, a *decision.Admission, ahead decision.QueueAhead) {
+func (s *roomSearch) logStart(t *registry.Target, a *decision.Admission, targets []*registry.Target, ahead decision.QueueAhead) {
 	action, reason := decision.AdmitOnTime, "overload"
 	if a.Late && !s.work.OverShare {
 		action = decision.AdmitLate
@@ -237,7 +237,7 @@
 	}
 	s.g.metrics.recordAdmission(s.req.route.Name, action, reason)
 	if waited := time.Since(s.req.arrivedAt); waited > minRoomDelay {
-		telemetry.Info(s.g.opts.Logger, "started after a wait", append(s.fields(a, ahead), "target", t.ID, "decision", action, "waited_ms", waited.Milliseconds())...)
+		telemetry.Info(s.g.opts.Logger, "started after a wait", append(s.fields(a, targets, ahead), "target", t.ID, "decision", action, "waited_ms", waited.Milliseconds())...)
 	}
 }
 
@@ -245,6 +245,12 @@
 func (s *roomSearch) refuse(a *decision.Admission, targets []*registry.Target, ahead decision.QueueAhead) {
 	s.g.metrics.recordAdmission(s.req.route.Name, a.Action, a.Reason)
 	s.req.overloaded = result.New(result.Overloaded, result.RanNo, "%s", a.Reason).RetryAfter(a.RetryAfter)
+	telemetry.Info(s.g.opts.Logger, "given up", append(s.fields(a, targets, ahead), "reason", a.Reason, "waited_ms", s.work.Waited.Milliseconds(),
+		"retry_after_ms", a.RetryAfter.Milliseconds())...)
+}
+
+// fields returns the values that decide about a stream, for the log.
+func (s *roomSearch) fields(a *decision.Admission, targets []*registry.Target, ahead decision.QueueAhead) []any {
 	now := time.Now()
 	var oldest time.Duration
 	reported := 0
@@ -254,16 +260,11 @@
 			oldest = max(oldest, now.Sub(r.ReceivedAt))
 		}
 	}
-	telemetry.Info(s.g.opts.Logger, "given up", append(s.fields(a, ahead), "reason", a.Reason, "waited_ms", s.work.Waited.Milliseconds(),
-		"retry_after_ms", a.RetryAfter.Milliseconds(), "targets", len(targets), "reported", reported, "oldest_report_ms", oldest.Milliseconds())...)
-}
-
-// fields returns the values that decide about a stream, for the log.
-func (s *roomSearch) fields(a *decision.Admission, ahead decision.QueueAhead) []any {
 	return []any{
 		"request", s.req.ID, "route", s.req.route.Name, "workspace", s.req.workspace, "held", s.work.Holdback != nil, "late", a.Late, "calm", a.Calm,
 		"over_share", s.work.OverShare, "wait_ms", a.Wait.Milliseconds(), "prefill_ms", a.Prefill.Milliseconds(), "useful_ms", a.Useful.Milliseconds(),
 		"tokens_ahead", ahead.Tokens, "waiting", ahead.Others, "members", s.g.members.Count(),
+		"targets", len(targets), "reported", reported, "oldest_report_ms", oldest.Milliseconds(),
 	}
 }
 
