--- a/decision/holdback.go
+++ b/decision/holdback.go
@@ -1,7 +1,6 @@
 package decision
 
 import (
-	"math"
 	"time"
 )
 
@@ -53,21 +52,6 @@
 // have room because it is slow.
 const maxDetourMillis = 300
 
-// Acceptable reports for each target whether its score is near that of the best one.
-func (c *PlacementCosts) Acceptable(w PlacementWork, targets []PlacementTarget) []bool {
-	scores := make([]float64, len(targets))
-	lowest := math.Inf(1)
-	for i := range targets {
-		scores[i] = c.Score(w, &targets[i])
-		lowest = min(lowest, scores[i])
-	}
-	acceptable := make([]bool, len(targets))
-	for i := range scores {
-		acceptable[i] = scores[i] <= lowest+maxDetourMillis
-	}
-	return acceptable
-}
-
 // tokensWithin returns the number of prompt tokens that a target prefills within a time.
 func tokensWithin(d time.Duration, t *PlacementTarget) int {
 	return int(float64(d) / float64(time.Millisecond) / loadedTokenMillis / max(t.Slowdown, 1))
--- a/decision/holdback_test.go
+++ b/decision/holdback_test.go
@@ -228,9 +228,17 @@
 		costs := DefaultPlacementCosts()
 		work := PlacementWork{PromptTokens: 3000, KVTokens: 4000, Long: true}
 		targets := []PlacementTarget{{Slots: 24, PrefillTokens: 2000, Requests: 3}, {Slots: 24, BaselineSlowdown: 1.3}}
-		convey.So(costs.Acceptable(work, targets), convey.ShouldResemble, []bool{true, false})
+		drawn := func() []int {
+			var indices []int
+			choice := costs.ChooseRooms(work, targets, []Room{{Index: 0}, {Index: 1}})
+			for room, ok := choice.Next(0); ok; room, ok = choice.Next(0) {
+				indices = append(indices, room.Index)
+			}
+			return indices
+		}
+		convey.So(drawn(), convey.ShouldResemble, []int{0})
 		targets[0].PrefillTokens = 9000
-		convey.So(costs.Acceptable(work, targets), convey.ShouldResemble, []bool{false, true})
+		convey.So(drawn(), convey.ShouldResemble, []int{1})
 	})
 }
 
--- a/decision/overload.go
+++ b/decision/overload.go
@@ -305,8 +305,9 @@
 			r.MaxKVTokens = int(lateKVShare * float64(t.KVCapacityTokens))
 			slots *= lateSlotShare
 		case w.Holdback != nil:
-			// One urgent prompt must find room beside held work.
-			r.MaxKVTokens = t.KVCapacityTokens - w.Holdback.UrgentPromptTokens
+			// One urgent prompt must find room beside held work, which keeps half of a
+			// cache that is smaller than two prompts.
+			r.MaxKVTokens = max(t.KVCapacityTokens-w.Holdback.UrgentPromptTokens, t.KVCapacityTokens/2)
 		}
 	}
 	hasSlot := a.Calm || t.Slots == 0 || float64(t.Requests) < slots
@@ -326,3 +327,57 @@
 	}
 	return !busy || w.Waited > w.Objective/2
 }
+
+// RoomChoice draws rooms one after the other, by the scores of their targets.
+type RoomChoice struct {
+	rooms   []Room
+	weights []float64
+	total   float64
+}
+
+// ChooseRooms returns the choice among the rooms of an admission whose targets are
+// acceptable. The probability of a target is that of Pick.
+func (c *PlacementCosts) ChooseRooms(w PlacementWork, targets []PlacementTarget, rooms []Room) *RoomChoice {
+	choice := &RoomChoice{}
+	if len(rooms) == 0 {
+		return choice
+	}
+	scores := make([]float64, len(targets))
+	lowest := math.Inf(1)
+	for i := range targets {
+		scores[i] = c.Score(w, &targets[i])
+		lowest = min(lowest, scores[i])
+	}
+	choice.rooms = make([]Room, 0, len(rooms))
+	choice.weights = make([]float64, 0, len(rooms))
+	for _, r := range rooms {
+		if scores[r.Index] > lowest+maxDetourMillis {
+			continue
+		}
+		weight := math.Exp((lowest - scores[r.Index]) / c.SpreadMillis)
+		choice.rooms, choice.weights = append(choice.rooms, r), append(choice.weights, weight)
+		choice.total += weight
+	}
+	return choice
+}
+
+// Next draws a room and removes it. It returns false if there is none left. u is uniform in
+// [0, 1).
+func (c *RoomChoice) Next(u float64) (Room, bool) {
+	if len(c.rooms) == 0 {
+		return Room{}, false
+	}
+	u *= c.total
+	drawn := len(c.rooms) - 1
+	for i, weight := range c.weights {
+		if u -= weight; u < 0 {
+			drawn = i
+			break
+		}
+	}
+	room, last := c.rooms[drawn], len(c.rooms)-1
+	c.total -= c.weights[drawn]
+	c.rooms[drawn], c.weights[drawn] = c.rooms[last], c.weights[last]
+	c.rooms, c.weights = c.rooms[:last], c.weights[:last]
+	return room, true
+}
--- a/decision/overload_test.go
+++ b/decision/overload_test.go
@@ -69,7 +69,6 @@
 	nextTry   time.Time
 	remaining int
 	events    int
-	started   bool
 }
 
 func (st *surgeStream) inBurst() bool { return st.second >= surgeStart && st.second < surgeEnd }
@@ -128,7 +127,6 @@
 		}
 		e.queue = e.queue[1:]
 		e.decoding = append(e.decoding, st)
-		st.started = true
 		s.count(st)
 	}
 	e.prefilled = min(e.prefilled, 0)
@@ -229,7 +227,12 @@
 func admitBefore(w *AdmissionWork, targets []PlacementTarget) Admission {
 	a := Admission{Calm: true}
 	for i := range targets {
-		if r, ok := a.room(w, i, &targets[i]); ok {
+		t := &targets[i]
+		r := Room{Index: i, MaxPrefill: MaxBacklogTokens(w.PlacementWork, w.Objective, t), MaxKVTokens: noLimit}
+		if w.Holdback != nil {
+			r.MaxPrefill, r.MaxKVTokens = w.Holdback.MaxBacklogTokens(w.PlacementWork, t), t.KVCapacityTokens
+		}
+		if t.PrefillTokens <= r.MaxPrefill && (w.Holdback == nil || t.KVTokens+w.KVTokens <= r.MaxKVTokens) {
 			a.Rooms = append(a.Rooms, r)
 		}
 	}
@@ -244,10 +247,9 @@
 	}
 	q := s.queues[st.gateway]
 	targets, engines := s.reports(q)
-	ahead := q.streams.Ahead(st.waiting, s.gateways, s.now)
-	a := Admit(&st.work, targets, ahead)
-	if !s.admits {
-		a = admitBefore(&st.work, targets)
+	a := admitBefore(&st.work, targets)
+	if s.admits {
+		a = Admit(&st.work, targets, q.streams.Ahead(st.waiting, s.gateways, s.now))
 	}
 	if a.Action == AdmitRefuse {
 		s.refuse(st)
@@ -255,25 +257,16 @@
 	}
 	costs := DefaultPlacementCosts()
 	costs = costs.Shared(s.gateways, st.work.PlacementWork)
-	var rooms []Room
-	var loads []PlacementTarget
-	var acceptable []bool
-	if len(a.Rooms) > 0 {
-		acceptable = costs.Acceptable(st.work.PlacementWork, targets)
-	}
-	for _, r := range a.Rooms {
-		if acceptable != nil && acceptable[r.Index] {
-			rooms, loads = append(rooms, r), append(loads, targets[r.Index])
+	choice, busy := costs.ChooseRooms(st.work.PlacementWork, targets, a.Rooms), false
+	for range 3 {
+		room, ok := choice.Next(s.rng.Float64())
+		if !ok {
+			break
 		}
-	}
-	busy := false
-	for try := 0; try < 3 && len(rooms) > 0; try++ {
-		i := costs.Pick(st.work.PlacementWork, loads, s.rng.Float64())
-		if s.send(st, engines[rooms[i].Index], rooms[i], a.Late && !a.Calm) {
+		if s.send(st, engines[room.Index], room, a.Late && !a.Calm) {
 			return true
 		}
 		busy = s.admits
-		rooms, loads = append(rooms[:i], rooms[i+1:]...), append(loads[:i], loads[i+1:]...)
 	}
 	if a.MayStartAnywhere(&st.work, busy) {
 		return s.send(st, engines[costs.Pick(st.work.PlacementWork, targets, s.rng.Float64())], Room{MaxPrefill: noLimit, MaxKVTokens: noLimit}, false)
--- a/decision/overloadbench_test.go
+++ b/decision/overloadbench_test.go
@@ -36,14 +36,7 @@
 	b.Run("start", func(b *testing.B) {
 		for b.Loop() {
 			a := Admit(&work, targets, QueueAhead{Others: streams})
-			acceptable := costs.Acceptable(work.PlacementWork, targets)
-			loads := make([]PlacementTarget, 0, len(a.Rooms))
-			for _, r := range a.Rooms {
-				if acceptable[r.Index] {
-					loads = append(loads, targets[r.Index])
-				}
-			}
-			costs.Pick(work.PlacementWork, loads, rng.Float64())
+			costs.ChooseRooms(work.PlacementWork, targets, a.Rooms).Next(rng.Float64())
 		}
 	})
 }
--- a/gateway/holdback.go
+++ b/gateway/holdback.go
@@ -197,31 +197,18 @@
 // reserveAny asks some of the targets that seem to have room for a reservation. It returns
 // the first one that grants it, nil if none does.
 func (s *roomSearch) reserveAny(ctx context.Context, targets []*registry.Target, candidates []decision.PlacementTarget, admission *decision.Admission) *registry.Target {
-	if len(admission.Rooms) == 0 {
-		return nil
-	}
-	rooms := make([]decision.Room, 0, len(admission.Rooms))
-	loads := make([]decision.PlacementTarget, 0, len(admission.Rooms))
 	work := s.work.PlacementWork
 	costs := s.g.placementCosts.Shared(s.g.members.Count(), work)
-	acceptable := costs.Acceptable(work, candidates)
-	for _, r := range admission.Rooms {
-		if acceptable[r.Index] {
-			rooms, loads = append(rooms, r), append(loads, candidates[r.Index])
-		}
-	}
+	choice := costs.ChooseRooms(work, candidates, admission.Rooms)
 	for range maxReservationTries {
-		i := costs.Pick(work, loads, rand.Float64())
-		if i < 0 {
+		room, ok := choice.Next(rand.Float64())
+		if !ok {
 			return nil
 		}
-		if t := targets[rooms[i].Index]; s.reserve(ctx, t, &rooms[i], admission.Late && !admission.Calm) {
-			s.g.logPlacement(s.req, t, &loads[i], len(targets))
+		if t := targets[room.Index]; s.reserve(ctx, t, &room, admission.Late && !admission.Calm) {
+			s.g.logPlacement(s.req, t, &candidates[room.Index], len(targets))
 			return t
 		}
-		last := len(rooms) - 1
-		rooms[i], loads[i] = rooms[last], loads[last]
-		rooms, loads = rooms[:last], loads[:last]
 	}
 	return nil
 }
