--- a/decision/overload.go
+++ b/decision/overload.go
@@ -99,6 +99,8 @@
 	OutputTokens int
 	// OverShare marks work beyond the usual share of its workspace.
 	OverShare bool
+	// Pace is the measured duration of prefills relative to the expected one, at least 1.
+	Pace float64
 	// Holdback is the rule that protects more urgent work, nil for the most urgent kind.
 	Holdback *Holdback
 }
@@ -167,6 +169,45 @@
 	return (idleTokenMillis + (loadedTokenMillis-idleTokenMillis)*batch) * max(t.Slowdown, 1)
 }
 
+// ExpectedPrefill returns the expected time in which a target prefills its backlog.
+func ExpectedPrefill(t *PlacementTarget, backlog int) time.Duration {
+	return millisDuration(targetTokenMillis(t) * float64(backlog))
+}
+
+// PrefillPace measures how long prefills take relative to the expected time, as a moving
+// average of the streams of one service. The rates of an engine are known for a normal host
+// only: at six tenths of them, streams started too late to be on time. It is not safe for
+// concurrent use.
+type PrefillPace struct{ expected, actual float64 }
+
+const (
+	// paceWeight is the weight of a stream in the average, which follows a change within
+	// some twenty streams.
+	paceWeight = 0.05
+	// maxPace bounds the effect of prefills that waited for something else, such as memory.
+	maxPace = 3
+)
+
+// Observe counts the prefill of a stream.
+func (p *PrefillPace) Observe(expected, actual time.Duration) {
+	if expected <= 0 || actual <= 0 {
+		return
+	}
+	if p.expected == 0 {
+		p.expected, p.actual = float64(expected), float64(expected)
+	}
+	p.expected += (float64(expected) - p.expected) * paceWeight
+	p.actual += (float64(actual) - p.actual) * paceWeight
+}
+
+// Factor returns the pace, in [1, maxPace]; 1 if it is unknown.
+func (p *PrefillPace) Factor() float64 {
+	if p.expected == 0 {
+		return 1
+	}
+	return min(max(p.actual/p.expected, 1), maxPace)
+}
+
 // forecast sets the values that decide, except for the rooms.
 func (a *Admission) forecast(w *AdmissionWork, targets []PlacementTarget, ahead QueueAhead) {
 	var requests, slots, backlog int
@@ -179,7 +220,7 @@
 		if t.Unreachable {
 			continue
 		}
-		millis := targetTokenMillis(t)
+		millis := targetTokenMillis(t) * max(w.Pace, 1)
 		tokensPerMilli += 1 / millis
 		fastest = min(fastest, millis)
 		earliest = min(earliest, millis*float64(t.PrefillTokens+w.PromptTokens))
@@ -293,7 +334,7 @@
 		r.MaxPrefill = h.MaxBacklogTokens(w.PlacementWork, t)
 	default:
 		within := float64(min(time.Duration(ownShare*float64(w.Objective)), time.Duration(remainingShare*float64(w.Objective-w.Waited)))) / float64(time.Millisecond)
-		r.MaxPrefill = max(int(within/targetTokenMillis(t))-w.PromptTokens, 0)
+		r.MaxPrefill = max(int(within/(targetTokenMillis(t)*max(w.Pace, 1)))-w.PromptTokens, 0)
 		if w.Holdback != nil {
 			r.MaxPrefill = min(r.MaxPrefill, w.Holdback.MaxBacklogTokens(w.PlacementWork, t))
 		}
--- a/decision/overload_test.go
+++ b/decision/overload_test.go
@@ -1,6 +1,7 @@
 package decision
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -17,7 +18,9 @@
 	// peak is the load of the burst as a multiple of the capacity. hog makes one workspace
 	// send 8 times its usual share, retry makes clients return at once, leave makes a third
 	// of the engines leave in the middle of the burst.
-	peak              float64
+	peak float64
+	// speed is the speed of the engines relative to that which gateways assume, 0 for 1.
+	speed             float64
 	hog, retry, leave bool
 	admits            bool
 	engines           []*surgeEngine
@@ -69,6 +72,8 @@
 	nextTry   time.Time
 	remaining int
 	events    int
+	sent      time.Time
+	expected  time.Duration
 }
 
 func (st *surgeStream) inBurst() bool { return st.second >= surgeStart && st.second < surgeEnd }
@@ -76,6 +81,7 @@
 type surgeQueue struct {
 	streams WaitQueue
 	shares  UsualShares
+	pace    PrefillPace
 	readAt  int
 	targets []PlacementTarget
 	engines []*surgeEngine
@@ -113,7 +119,7 @@
 		kept = append(kept, st)
 	}
 	e.queue = kept
-	e.prefilled += millis / (1.0/14 + (1.0/5-1.0/14)*batch)
+	e.prefilled += s.speed * millis / (1.0/14 + (1.0/5-1.0/14)*batch)
 	for len(e.queue) > 0 && e.prefilled > 0 {
 		st := e.queue[0]
 		if len(e.decoding) >= surgeSlots || e.kvTokens()+st.work.PromptTokens > surgeKVTokens {
@@ -143,6 +149,7 @@
 
 // count counts a stream whose first event is generated.
 func (s *surge) count(st *surgeStream) {
+	s.queues[st.gateway].pace.Observe(st.expected, s.now.Sub(st.sent))
 	if s.now.Sub(st.arrived) > st.work.Objective {
 		s.late++
 		return
@@ -159,7 +166,7 @@
 	second := s.tick / ticksPerSecond
 	burst := second >= surgeStart && second < surgeEnd
 	for w := range surgeWorkspaces {
-		rate := usualLoad * capacityRate / surgeWorkspaces
+		rate := usualLoad * s.speed * capacityRate / surgeWorkspaces
 		if burst {
 			rate *= s.peak / usualLoad
 			if s.hog {
@@ -249,6 +256,7 @@
 	targets, engines := s.reports(q)
 	a := admitBefore(&st.work, targets)
 	if s.admits {
+		st.work.Pace = q.pace.Factor()
 		a = Admit(&st.work, targets, q.streams.Ahead(st.waiting, s.gateways, s.now))
 	}
 	if a.Action == AdmitRefuse {
@@ -279,6 +287,7 @@
 		return false
 	}
 	e.queue = append(e.queue, st)
+	st.sent, st.expected = s.now, ExpectedPrefill(&e.history[max(len(e.history)-minSurgeLagTicks, 0)], e.account.PrefillTokens())
 	return true
 }
 
@@ -291,6 +300,7 @@
 }
 
 func (s surge) play(seed uint64) *surge {
+	s.speed = cmp.Or(s.speed, 1)
 	s.rng, s.now = rand.New(rand.NewPCG(seed, 5)), time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	for range surgeEngines {
 		s.engines = append(s.engines, &surgeEngine{history: []PlacementTarget{{Slots: surgeSlots, KVCapacityTokens: surgeKVTokens}}})
@@ -371,7 +381,7 @@
 func (s *surge) lowest(atCapacity float64) float64 {
 	lowest := 1e9
 	for i := surgeStart; i < surgeEnd-1; i++ {
-		capacity := atCapacity
+		capacity := atCapacity * s.speed
 		if s.leave && i+1 >= surgeLeave {
 			capacity *= 1 - float64((surgeEngines+2)/3)/surgeEngines
 		}
@@ -401,6 +411,7 @@
 		{"one workspace at 8 times its share", surge{peak: 3, hog: true}},
 		{"clients return at once", surge{peak: 3, retry: true}},
 		{"a third of the engines leaves", surge{peak: 3, leave: true}},
+		{"engines at six tenths of the assumed speed", surge{peak: 3, speed: 0.6}},
 		{"all at once", surge{peak: 3, hog: true, retry: true, leave: true}},
 	}
 	for _, gateways := range []int{12, 25} {
@@ -409,7 +420,7 @@
 		for i, p := range patterns {
 			wg.Go(func() {
 				p.gateways = gateways
-				if i == 1 || i == len(patterns)-1 {
+				if i == 1 || i >= len(patterns)-2 {
 					before[i] = p.play(1)
 				}
 				p.admits = true
@@ -433,10 +444,10 @@
 				convey.So(w.lowest(atCapacity), convey.ShouldBeGreaterThanOrEqualTo, 0.9)
 				convey.So(w.share(0, surgeStart, surgeEnd), convey.ShouldBeGreaterThan, w.share(1, surgeStart, surgeEnd))
 				convey.So(w.share(0, surgeEnd+2, surgeEnd+5), convey.ShouldBeGreaterThan, 0.95)
-				convey.So(w.perSecond(surgeEnd+2, surgeEnd+6), convey.ShouldBeGreaterThan, 0.9*usualLoad*capacityRate)
+				convey.So(w.perSecond(surgeEnd+2, surgeEnd+6), convey.ShouldBeGreaterThan, 0.9*usualLoad*w.speed*capacityRate)
 				convey.So(w.wasted, convey.ShouldEqual, 0)
 				if b != nil {
-					convey.So(b.perSecond(surgeEnd+2, surgeEnd+6), convey.ShouldBeLessThan, 0.5*usualLoad*capacityRate)
+					convey.So(b.perSecond(surgeEnd+2, surgeEnd+6), convey.ShouldBeLessThan, 0.5*usualLoad*w.speed*capacityRate)
 				}
 				if p.hog {
 					convey.So(w.workspaceShare(0), convey.ShouldBeGreaterThan, w.workspaceShare(1))
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -37,8 +37,12 @@
 	sentTo map[string]bool
 	// overShare is set if the request exceeds the usual share of its workspace. overloaded
 	// is the error of a request that was given up under overload.
-	overShare  bool
-	overloaded *result.Error
+	overShare bool
+	// reservedAt is when an engine's sidecar granted a reservation, expectedPrefill the
+	// expected time from then to the first event; 0 if unknown.
+	reservedAt      time.Time
+	expectedPrefill time.Duration
+	overloaded      *result.Error
 }
 
 func (r *request) remaining(now time.Time) time.Duration { return r.deadline.Sub(now) }
--- a/gateway/holdback.go
+++ b/gateway/holdback.go
@@ -40,12 +40,12 @@
 	queue.add(search.waiting)
 	defer queue.remove(search.waiting)
 	for {
-		ahead := queue.ahead(search.waiting, g.members.Count())
+		ahead, pace := queue.ahead(search.waiting, g.members.Count())
 		targets, candidates := search.candidates(queue, ahead.Ahead)
 		if len(targets) == 0 {
 			return g.awaitTarget(ctx, req, req.triedTargets)
 		}
-		search.update()
+		search.update(pace)
 		admission := decision.Admit(&search.work, candidates, ahead)
 		if admission.Action == decision.AdmitRefuse {
 			search.refuse(&admission, targets, ahead)
@@ -81,6 +81,7 @@
 	mu      sync.Mutex
 	streams decision.WaitQueue
 	shares  decision.UsualShares
+	pace    decision.PrefillPace
 	waiting *atomic.Int64
 	// targets and candidates are the targets and their loads at readAt, for the streams
 	// that do not search. They are not modified.
@@ -136,10 +137,22 @@
 	q.waiting.Add(-1)
 }
 
-func (q *waitQueue) ahead(s *decision.WaitingStream, members int) decision.QueueAhead {
+// observeFirstEvent counts the prefill of a stream that had a reservation.
+func (q *waitQueues) observeFirstEvent(req *request, now time.Time) {
+	if req.expectedPrefill == 0 {
+		return
+	}
+	queue := q.of(req.service.Name)
+	queue.mu.Lock()
+	defer queue.mu.Unlock()
+	queue.pace.Observe(req.expectedPrefill, now.Sub(req.reservedAt))
+	req.expectedPrefill = 0
+}
+
+func (q *waitQueue) ahead(s *decision.WaitingStream, members int) (ahead decision.QueueAhead, pace float64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.streams.Ahead(s, members, time.Now())
+	return q.streams.Ahead(s, members, time.Now()), q.pace.Factor()
 }
 
 // observeShare counts a request and reports whether it exceeds the usual share of its
@@ -168,9 +181,13 @@
 	waiting *decision.WaitingStream
 	// busy is set if a sidecar has denied a reservation because of its backlog.
 	busy bool
+	// reservedTokens is the backlog of the engine that has granted the reservation, with the
+	// prompt of the stream; 0 if unknown.
+	reservedTokens int
 }
 
 func (g *Gateway) newRoomSearch(req *request) *roomSearch {
+	req.expectedPrefill = 0
 	if len(req.triedTargets) == 0 {
 		req.overShare = g.waitQueues.of(req.service.Name).observeShare(req.workspace, req.PromptTokens)
 	}
@@ -184,12 +201,13 @@
 		Priority: req.route.Priority, ArrivedAt: req.arrivedAt, TightAt: req.arrivedAt.Add(s.work.TightAfter()),
 		LateAt: req.arrivedAt.Add(s.work.LateAfter()), PromptTokens: req.PromptTokens, OverShare: req.overShare,
 	}
-	s.update()
 	return s
 }
 
-// update sets how long the stream has waited.
-func (s *roomSearch) update() { s.work.Waited = time.Since(s.req.arrivedAt) }
+// update sets what changes while the stream waits.
+func (s *roomSearch) update(pace float64) {
+	s.work.Waited, s.work.Pace = time.Since(s.req.arrivedAt), pace
+}
 
 // unlimited is the limit of a reservation that is granted at any load.
 const unlimited = -1
@@ -206,6 +224,9 @@
 			return nil
 		}
 		if t := targets[room.Index]; s.reserve(ctx, t, &room, admission.Late && !admission.Calm) {
+			if s.reservedTokens > 0 {
+				s.req.reservedAt, s.req.expectedPrefill = time.Now(), decision.ExpectedPrefill(&candidates[room.Index], s.reservedTokens)
+			}
 			s.g.logPlacement(s.req, t, &candidates[room.Index], len(targets))
 			return t
 		}
@@ -249,7 +270,7 @@
 	}
 	return []any{
 		"request", s.req.ID, "route", s.req.route.Name, "workspace", s.req.workspace, "held", s.work.Holdback != nil, "late", a.Late, "calm", a.Calm,
-		"over_share", s.work.OverShare, "wait_ms", a.Wait.Milliseconds(), "prefill_ms", a.Prefill.Milliseconds(), "useful_ms", a.Useful.Milliseconds(),
+		"over_share", s.work.OverShare, "pace", s.work.Pace, "wait_ms", a.Wait.Milliseconds(), "prefill_ms", a.Prefill.Milliseconds(), "useful_ms", a.Useful.Milliseconds(),
 		"tokens_ahead", ahead.Tokens, "waiting", ahead.Others, "members", s.g.members.Count(),
 		"targets", len(targets), "reported", reported, "oldest_report_ms", oldest.Milliseconds(),
 	}
@@ -275,6 +296,9 @@
 		telemetry.Info(s.g.opts.Logger, "reservation failed", "request", s.req.ID, "target", t.ID, "err", err)
 		return true
 	}
+	if reservation.Report != nil && reservation.Granted {
+		s.reservedTokens = reservation.Report.PrefillTokens
+	}
 	if reservation.Report != nil && !reservation.Granted {
 		t.Load.RaiseBacklog(reservation.Report.PrefillTokens)
 		s.busy = s.busy || room.MaxPrefill != unlimited && reservation.Report.PrefillTokens > room.MaxPrefill
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -327,6 +327,7 @@
 			return
 		}
 		seg.firstEventAt = now
+		s.g.waitQueues.observeFirstEvent(s.req, now)
 		s.g.parts.Unwatch(seg.waiting)
 	}
 	if !seg.recordedSound && (complete || now.Sub(seg.firstEventAt) >= soundRunTime) {
