decision: calm allows for a few waiting streams

Streams wait for a moment at any load while they ask for reservations, and one other stream was enough to end the calm: idle engines whose sidecars deny, for example by a wrong account, would then have led to refusals.

--- a/decision/overload.go
+++ b/decision/overload.go
@@ -40,8 +40,9 @@
 
 // Parameters of admission under overload.
 const (
-	// calmSlotShare is the share of the slots in use below which nothing is refused as
-	// long as nothing waits; a refusal there is a fault.
+	// calmSlotShare is the share of the slots in use below which nothing is refused as long
+	// as fewer than MaxSearching streams wait; a refusal there is a fault. Some streams wait
+	// for a moment at any load, while they ask for reservations.
 	calmSlotShare = 0.5
 	// calmBacklogTokens is the mean backlog of a target above which prompts queue at the
 	// engines: half a prompt, which is what an engine has left of a prompt in prefill.
@@ -226,7 +227,7 @@
 		earliest = min(earliest, millis*float64(t.PrefillTokens+w.PromptTokens))
 	}
 	quiet := float64(requests) < calmSlotShare*float64(slots) && backlog < calmBacklogTokens*len(targets)
-	a.Calm = quiet && ahead.Others == 0
+	a.Calm = quiet && ahead.Others < MaxSearching
 	a.Useful = min(w.Patience, w.Limit-time.Duration(w.OutputTokens)*stepMillis*time.Millisecond)
 	if math.IsInf(earliest, 1) {
 		// No engine is known to answer, so there is nothing to estimate from.
