--- a/cmd/quetzalglade-gateway/main.go
+++ b/cmd/quetzalglade-gateway/main.go
@@ -48,10 +48,12 @@
 	if opts.LinkMbps == 0 {
 		opts.LinkMbps = platform.LinkMbps()
 	}
+	opts.AdmissionControl = platform.AdmissionControl()
 	opts.Codec = platform.Codec{}
 	opts.ReadyPath = platform.ReadyPath
 	opts.TableKey = platform.ConfigKey
 	opts.TargetPrefix = platform.TargetPrefix
+	opts.EvacuationPrefix = platform.EvacuationPrefix
 	opts.DecodeTable = platform.DecodeConfig
 	opts.DecodeTarget = platform.DecodeTarget
 	g, err := gateway.New(opts)
--- a/decision/holdback_test.go
+++ b/decision/holdback_test.go
@@ -236,8 +236,10 @@
 			}
 			return indices
 		}
+		convey.So(costs.Acceptable(work, targets), convey.ShouldResemble, []bool{true, false})
 		convey.So(drawn(), convey.ShouldResemble, []int{0})
 		targets[0].PrefillTokens = 9000
+		convey.So(costs.Acceptable(work, targets), convey.ShouldResemble, []bool{false, true})
 		convey.So(drawn(), convey.ShouldResemble, []int{1})
 	})
 }
--- a/gateway/holdback.go
+++ b/gateway/holdback.go
@@ -3,13 +3,10 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/quetzalglade/quetzalglade/decision"
 	"github.com/quetzalglade/quetzalglade/registry"
-	"github.com/quetzalglade/quetzalglade/result"
 	"github.com/quetzalglade/quetzalglade/sidecar"
 	"github.com/quetzalglade/quetzalglade/telemetry"
 )
@@ -28,38 +25,31 @@
 
 // placeStream chooses the target of a stream. For an engine, it reserves at the target's
 // sidecar, which knows what all gateways send there; without the sidecar's response the
-// target is used all the same. A stream without room waits, and it is refused if it can be of
-// no use any more. placeStream returns nil if there is no target, the stream is refused, ctx
-// ends, or the gateway stops while the stream waits.
+// target is used all the same. A stream that is less urgent than other work of its service
+// waits for a target with room. placeStream returns nil if there is no target, ctx ends, or
+// the gateway stops while the stream waits.
 func (g *Gateway) placeStream(ctx context.Context, req *request) *registry.Target {
 	if req.service.Engine == nil || req.route.TargetLatency == 0 || g.opts.SidecarWatcher == nil {
 		return g.awaitTarget(ctx, req, req.triedTargets)
 	}
-	search := g.newRoomSearch(req)
-	queue := g.waitQueues.of(req.service.Name)
-	queue.add(search.waiting)
-	defer queue.remove(search.waiting)
+	if g.opts.AdmissionControl {
+		return g.admitStream(ctx, req)
+	}
+	search := &roomSearch{g: g, req: req, work: req.placementWork(), holdback: g.holdback(req)}
 	for {
-		ahead, pace := queue.ahead(search.waiting, g.members.Count())
-		targets, candidates := search.candidates(queue, ahead.Ahead)
+		targets, candidates := g.placementCandidates(req, req.triedTargets)
 		if len(targets) == 0 {
 			return g.awaitTarget(ctx, req, req.triedTargets)
 		}
-		search.update(pace)
-		admission := decision.Admit(&search.work, candidates, ahead)
-		if admission.Action == decision.AdmitRefuse {
-			search.refuse(&admission, targets, ahead)
-			return nil
-		}
-		if t := search.reserveAny(ctx, targets, candidates, &admission); t != nil {
-			search.logStart(t, &admission, targets, ahead)
+		if t := search.reserveAny(ctx, targets, candidates); t != nil {
+			search.logWait(t)
 			return t
 		}
-		if admission.MayStartAnywhere(&search.work, search.busy) {
+		if search.holdback == nil || search.holdback.MustStart(time.Since(req.arrivedAt), req.route.TargetLatency, req.deadline.Sub(req.arrivedAt)) {
 			t := g.chooseTarget(req, req.triedTargets)
 			if t != nil {
-				search.reserve(ctx, t, &decision.Room{MaxPrefill: unlimited, MaxKVTokens: unlimited}, false)
-				search.logStart(t, &admission, targets, ahead)
+				search.reserve(ctx, t, unlimited, unlimited)
+				search.logWait(t)
 			}
 			return t
 		}
@@ -69,102 +59,7 @@
 	}
 }
 
-// waitQueues holds the streams that wait for a target, and the loads of the workspaces, by
-// service.
-type waitQueues struct {
-	mu        sync.Mutex
-	byService map[string]*waitQueue
-	waiting   atomic.Int64
-}
-
-type waitQueue struct {
-	mu      sync.Mutex
-	streams decision.WaitQueue
-	shares  decision.UsualShares
-	pace    decision.PrefillPace
-	waiting *atomic.Int64
-	// targets and candidates are the targets and their loads at readAt, for the streams
-	// that do not search. They are not modified.
-	targets    []*registry.Target
-	candidates []decision.PlacementTarget
-	readAt     time.Time
-}
-
-// snapshotAge is how old the loads may be by which a stream that does not search decides
-// whether it still waits. Load reports are as old.
-const snapshotAge = 50 * time.Millisecond
-
-// candidates returns the targets of a stream and their loads. Streams behind the ones that
-// search share a snapshot: with 400 targets, reading the loads takes longer than the decision.
-func (s *roomSearch) candidates(queue *waitQueue, ahead int) ([]*registry.Target, []decision.PlacementTarget) {
-	if ahead < decision.MaxSearching || len(s.req.triedTargets) > 0 {
-		return s.g.placementCandidates(s.req, s.req.triedTargets)
-	}
-	queue.mu.Lock()
-	defer queue.mu.Unlock()
-	if now := time.Now(); now.Sub(queue.readAt) > snapshotAge {
-		queue.targets, queue.candidates = s.g.placementCandidates(s.req, nil)
-		queue.readAt = now
-	}
-	return queue.targets, queue.candidates
-}
-
-func (q *waitQueues) of(service string) *waitQueue {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.byService == nil {
-		q.byService = map[string]*waitQueue{}
-	}
-	queue := q.byService[service]
-	if queue == nil {
-		queue = &waitQueue{waiting: &q.waiting}
-		q.byService[service] = queue
-	}
-	return queue
-}
-
-func (q *waitQueue) add(s *decision.WaitingStream) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.streams.Add(s, time.Now())
-	q.waiting.Add(1)
-}
-
-func (q *waitQueue) remove(s *decision.WaitingStream) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.streams.Remove(s)
-	q.waiting.Add(-1)
-}
-
-// observeFirstEvent counts the prefill of a stream that had a reservation.
-func (q *waitQueues) observeFirstEvent(req *request, now time.Time) {
-	if req.expectedPrefill == 0 {
-		return
-	}
-	queue := q.of(req.service.Name)
-	queue.mu.Lock()
-	defer queue.mu.Unlock()
-	queue.pace.Observe(req.expectedPrefill, now.Sub(req.reservedAt))
-	req.expectedPrefill = 0
-}
-
-func (q *waitQueue) ahead(s *decision.WaitingStream, members int) (ahead decision.QueueAhead, pace float64) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.streams.Ahead(s, members, time.Now()), q.pace.Factor()
-}
-
-// observeShare counts a request and reports whether it exceeds the usual share of its
-// workspace.
-func (q *waitQueue) observeShare(workspace string, promptTokens int) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.shares.Observe(time.Now(), workspace, promptTokens)
-}
-
-// holdback returns the rule by which a request waits for room, nil if it is of the most
-// urgent kind.
+// holdback returns the rule by which a request waits for room, nil if it never waits.
 func (g *Gateway) holdback(req *request) *decision.Holdback {
 	urgent := g.table.Load().MostUrgent(req.service.Name)
 	if urgent == nil || urgent.Priority >= req.route.Priority {
@@ -175,110 +70,77 @@
 
 // roomSearch is the search for a target with room for one stream.
 type roomSearch struct {
-	g       *Gateway
-	req     *request
-	work    decision.AdmissionWork
-	waiting *decision.WaitingStream
-	// busy is set if a sidecar has denied a reservation because of its backlog.
-	busy bool
-	// reservedTokens is the backlog of the engine that has granted the reservation, with the
-	// prompt of the stream; 0 if unknown.
-	reservedTokens int
-}
-
-func (g *Gateway) newRoomSearch(req *request) *roomSearch {
-	req.expectedPrefill = 0
-	if len(req.triedTargets) == 0 {
-		req.overShare = g.waitQueues.of(req.service.Name).observeShare(req.workspace, req.PromptTokens)
-	}
-	s := &roomSearch{g: g, req: req, work: decision.AdmissionWork{
-		PlacementWork: req.placementWork(), ID: req.ID, Objective: req.route.TargetLatency,
-		Patience: decision.ClientPatience(req.route.TargetLatency, req.route.InterTokenTarget),
-		Limit:    req.deadline.Sub(req.arrivedAt), OutputTokens: min(req.OutputHint, req.MaxOutput),
-		OverShare: req.overShare, Holdback: g.holdback(req),
-	}}
-	s.waiting = &decision.WaitingStream{
-		Priority: req.route.Priority, ArrivedAt: req.arrivedAt, TightAt: req.arrivedAt.Add(s.work.TightAfter()),
-		LateAt: req.arrivedAt.Add(s.work.LateAfter()), PromptTokens: req.PromptTokens, OverShare: req.overShare,
-	}
-	return s
-}
-
-// update sets what changes while the stream waits.
-func (s *roomSearch) update(pace float64) {
-	s.work.Waited, s.work.Pace = time.Since(s.req.arrivedAt), pace
+	g    *Gateway
+	req  *request
+	work decision.PlacementWork
+	// holdback is nil for a stream that does not wait.
+	holdback *decision.Holdback
 }
 
 // unlimited is the limit of a reservation that is granted at any load.
 const unlimited = -1
 
+// room is a target that may have room, with the limits of a reservation there.
+type room struct {
+	target      *registry.Target
+	maxPrefill  int
+	maxKVTokens int
+}
+
 // reserveAny asks some of the targets that seem to have room for a reservation. It returns
 // the first one that grants it, nil if none does.
-func (s *roomSearch) reserveAny(ctx context.Context, targets []*registry.Target, candidates []decision.PlacementTarget, admission *decision.Admission) *registry.Target {
-	work := s.work.PlacementWork
-	costs := s.g.placementCosts.Shared(s.g.members.Count(), work)
-	choice := costs.ChooseRooms(work, candidates, admission.Rooms)
+func (s *roomSearch) reserveAny(ctx context.Context, targets []*registry.Target, candidates []decision.PlacementTarget) *registry.Target {
+	var rooms []room
+	var loads []decision.PlacementTarget
+	costs := s.g.placementCosts.Shared(s.g.members.Count(), s.work)
+	acceptable := costs.Acceptable(s.work, candidates)
+	for i := range candidates {
+		if r, ok := s.room(targets[i], &candidates[i]); ok && acceptable[i] {
+			rooms, loads = append(rooms, r), append(loads, candidates[i])
+		}
+	}
 	for range maxReservationTries {
-		room, ok := choice.Next(rand.Float64())
-		if !ok {
+		i := costs.Pick(s.work, loads, rand.Float64())
+		if i < 0 {
 			return nil
 		}
-		if t := targets[room.Index]; s.reserve(ctx, t, &room, admission.Late && !admission.Calm) {
-			if s.reservedTokens > 0 {
-				s.req.reservedAt, s.req.expectedPrefill = time.Now(), decision.ExpectedPrefill(&candidates[room.Index], s.reservedTokens)
-			}
-			s.g.logPlacement(s.req, t, &candidates[room.Index], len(targets))
-			return t
+		if s.reserve(ctx, rooms[i].target, rooms[i].maxPrefill, rooms[i].maxKVTokens) {
+			s.g.logPlacement(s.req, rooms[i].target, &loads[i], len(targets))
+			return rooms[i].target
 		}
+		last := len(rooms) - 1
+		rooms[i], loads[i] = rooms[last], loads[last]
+		rooms, loads = rooms[:last], loads[:last]
 	}
 	return nil
 }
 
-// logStart counts the start of a stream and logs it if it has waited for room.
-func (s *roomSearch) logStart(t *registry.Target, a *decision.Admission, targets []*registry.Target, ahead decision.QueueAhead) {
-	action, reason := decision.AdmitOnTime, "overload"
-	if a.Late && !s.work.OverShare {
-		action = decision.AdmitLate
-	}
-	if a.Calm {
-		reason = "calm"
-	}
-	s.g.metrics.recordAdmission(s.req.route.Name, action, reason)
-	if waited := time.Since(s.req.arrivedAt); waited > minRoomDelay {
-		telemetry.Info(s.g.opts.Logger, "started after a wait", append(s.fields(a, targets, ahead), "target", t.ID, "decision", action, "waited_ms", waited.Milliseconds())...)
+// room returns the limits of a reservation at a target, and false if the target has no room
+// according to its last report.
+func (s *roomSearch) room(t *registry.Target, load *decision.PlacementTarget) (room, bool) {
+	r := room{target: t, maxKVTokens: unlimited}
+	if s.holdback == nil {
+		r.maxPrefill = decision.MaxBacklogTokens(s.work, s.req.route.TargetLatency, load)
+	} else {
+		r.maxPrefill = s.holdback.MaxBacklogTokens(s.work, load)
+		if load.KVCapacityTokens > 0 {
+			r.maxKVTokens = load.KVCapacityTokens
+		}
 	}
+	fits := r.maxKVTokens == unlimited || load.KVTokens+s.work.KVTokens <= r.maxKVTokens
+	return r, fits && !load.Unreachable && load.PrefillTokens <= r.maxPrefill
 }
 
-// refuse gives a stream up. The values that decided are in the log.
-func (s *roomSearch) refuse(a *decision.Admission, targets []*registry.Target, ahead decision.QueueAhead) {
-	s.g.metrics.recordAdmission(s.req.route.Name, a.Action, a.Reason)
-	s.req.overloaded = result.New(result.Overloaded, result.RanNo, "%s", a.Reason).RetryAfter(a.RetryAfter)
-	telemetry.Info(s.g.opts.Logger, "given up", append(s.fields(a, targets, ahead), "reason", a.Reason, "waited_ms", s.work.Waited.Milliseconds(),
-		"retry_after_ms", a.RetryAfter.Milliseconds())...)
-}
-
-// fields returns the values that decide about a stream, for the log.
-func (s *roomSearch) fields(a *decision.Admission, targets []*registry.Target, ahead decision.QueueAhead) []any {
-	now := time.Now()
-	var oldest time.Duration
-	reported := 0
-	for _, t := range targets {
-		if r := t.Load.Report(now, maxLoadReportAge); r != nil {
-			reported++
-			oldest = max(oldest, now.Sub(r.ReceivedAt))
-		}
-	}
-	return []any{
-		"request", s.req.ID, "route", s.req.route.Name, "workspace", s.req.workspace, "held", s.work.Holdback != nil, "late", a.Late, "calm", a.Calm,
-		"over_share", s.work.OverShare, "pace", s.work.Pace, "wait_ms", a.Wait.Milliseconds(), "prefill_ms", a.Prefill.Milliseconds(), "useful_ms", a.Useful.Milliseconds(),
-		"tokens_ahead", ahead.Tokens, "waiting", ahead.Others, "members", s.g.members.Count(),
-		"targets", len(targets), "reported", reported, "oldest_report_ms", oldest.Milliseconds(),
+// logWait logs the start of a stream that has waited for room.
+func (s *roomSearch) logWait(t *registry.Target) {
+	if waited := time.Since(s.req.arrivedAt); waited > minRoomDelay {
+		telemetry.Info(s.g.opts.Logger, "started after a wait", "request", s.req.ID, "route", s.req.route.Name, "target", t.ID, "held", s.holdback != nil, "waited_ms", waited.Milliseconds())
 	}
 }
 
 // reserve reserves for a request at the sidecar of a target. It reports false only if the
 // sidecar denies it.
-func (s *roomSearch) reserve(ctx context.Context, t *registry.Target, room *decision.Room, late bool) bool {
+func (s *roomSearch) reserve(ctx context.Context, t *registry.Target, maxPrefill, maxKVTokens int) bool {
 	if t.Load.Report(time.Now(), maxLoadReportAge) == nil {
 		return true
 	}
@@ -288,20 +150,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
-	reservation, err := s.g.opts.SidecarWatcher.Reserve(ctx, addr, &sidecar.Reservation{
-		RequestID: s.req.ID, PromptTokens: s.work.PromptTokens, KVTokens: s.work.KVTokens,
-		MaxPrefillTokens: room.MaxPrefill, MaxKVTokens: room.MaxKVTokens, Late: late,
+	result, err := s.g.opts.SidecarWatcher.Reserve(ctx, addr, &sidecar.Reservation{
+		RequestID: s.req.ID, PromptTokens: s.work.PromptTokens, KVTokens: s.work.KVTokens, MaxPrefillTokens: maxPrefill, MaxKVTokens: maxKVTokens,
 	})
 	if err != nil {
 		telemetry.Info(s.g.opts.Logger, "reservation failed", "request", s.req.ID, "target", t.ID, "err", err)
 		return true
 	}
-	if reservation.Report != nil && reservation.Granted {
-		s.reservedTokens = reservation.Report.PrefillTokens
-	}
-	if reservation.Report != nil && !reservation.Granted {
-		t.Load.RaiseBacklog(reservation.Report.PrefillTokens)
-		s.busy = s.busy || room.MaxPrefill != unlimited && reservation.Report.PrefillTokens > room.MaxPrefill
+	if result.Report != nil && !result.Granted {
+		t.Load.RaiseBacklog(result.Report.PrefillTokens)
 	}
-	return reservation.Granted
+	return result.Granted
 }
