gateway: one wait queue for each set of allowed regions

All streams of a service waited in one queue, although route and workspace limits give them different targets. Eight urgent streams that waited for the full engines of one region kept unrestricted streams from searching, cancelled calm and got them refused; a restricted stream divided the tokens of the whole queue by the rate of its own region.

The forecast counts the tokens of another queue only as far as both use the same targets. A stream that found no room leaves its search place to those behind it.

--- a/decision/overload.go
+++ b/decision/overload.go
@@ -122,8 +122,8 @@
 type QueueAhead struct {
 	// Others is the number of other streams that wait in this process.
 	Others int
-	// Ahead is the number of those that are ahead of the stream, OnTime the number of those
-	// ahead that can be on time.
+	// Ahead is the number of those that are ahead of the stream and search for room, OnTime
+	// the number of those ahead that can be on time.
 	Ahead  int
 	OnTime int
 	// Tokens are the prompts of the streams ahead. Processes is the number of processes that
@@ -370,6 +370,9 @@
 	return !busy || w.Waited > w.Objective/2
 }
 
+// HasNoRoom reports whether the stream searched and found no target with room.
+func (a *Admission) HasNoRoom() bool { return a.Reason == reasonNoRoom }
+
 // RoomChoice draws rooms one after the other, by the scores of their targets.
 type RoomChoice struct {
 	rooms   []Room
--- a/decision/overload_test.go
+++ b/decision/overload_test.go
@@ -258,6 +258,7 @@
 	if s.admits {
 		st.work.Pace = q.pace.Factor()
 		a = Admit(&st.work, targets, q.streams.Ahead(st.waiting, s.gateways, s.now))
+		q.streams.SetNoRoom(st.waiting, a.HasNoRoom())
 	}
 	if a.Action == AdmitRefuse {
 		s.refuse(st)
--- a/decision/waitqueue.go
+++ b/decision/waitqueue.go
@@ -20,6 +20,8 @@
 	OverShare bool
 
 	ahead QueueAhead
+	// noRoom is set if the last search of the stream found no target with room.
+	noRoom bool
 }
 
 // WaitQueue orders the streams that wait in one process for an engine: first those that can
@@ -29,6 +31,9 @@
 type WaitQueue struct {
 	streams  []*WaitingStream
 	sortedAt time.Time
+	// sorted is the number of streams that were sorted at sortedAt; the later ones have been
+	// added since.
+	sorted int
 }
 
 // sortPeriod is the time between two sorts of a queue. It is shorter than the time between
@@ -72,7 +77,9 @@
 }
 
 func (a *QueueAhead) add(s *WaitingStream, now time.Time) {
-	a.Ahead++
+	if !s.noRoom {
+		a.Ahead++
+	}
 	a.Tokens += s.PromptTokens
 	if s.canBeOnTime(now) {
 		a.OnTime++
@@ -83,23 +90,65 @@
 func (q *WaitQueue) Remove(s *WaitingStream) {
 	if i := slices.Index(q.streams, s); i >= 0 {
 		q.streams = slices.Delete(q.streams, i, i+1)
+		if i < q.sorted {
+			q.sorted--
+		}
 	}
 }
 
+// SetNoRoom records whether a search of s found no target with room. Such a stream asks no
+// sidecar, so it leaves its place among those that search to the streams behind it.
+func (q *WaitQueue) SetNoRoom(s *WaitingStream, noRoom bool) { s.noRoom = noRoom }
+
 // Ahead returns the work ahead of s if each of several processes has such a queue. The result
 // is at most sortPeriod old.
 func (q *WaitQueue) Ahead(s *WaitingStream, processes int, now time.Time) QueueAhead {
-	if now.Sub(q.sortedAt) >= sortPeriod {
-		q.sortedAt = now
-		slices.SortStableFunc(q.streams, func(a, b *WaitingStream) int { return compareWaiting(a, b, now) })
-		var ahead QueueAhead
-		for _, other := range q.streams {
-			other.ahead = ahead
-			ahead.add(other, now)
-		}
-	}
+	q.sort(now)
 	ahead := s.ahead
 	ahead.Others = len(q.streams) - 1
 	ahead.Processes = processes
 	return ahead
 }
+
+func (q *WaitQueue) sort(now time.Time) {
+	if now.Sub(q.sortedAt) < sortPeriod {
+		return
+	}
+	q.sortedAt, q.sorted = now, len(q.streams)
+	slices.SortStableFunc(q.streams, func(a, b *WaitingStream) int { return compareWaiting(a, b, now) })
+	var ahead QueueAhead
+	for _, other := range q.streams {
+		other.ahead = ahead
+		ahead.add(other, now)
+	}
+}
+
+// TokensBefore returns the prompt tokens of the streams that come before s, which waits in
+// another queue. The result is at most sortPeriod old.
+func (q *WaitQueue) TokensBefore(s *WaitingStream, now time.Time) int {
+	q.sort(now)
+	n, _ := slices.BinarySearchFunc(q.streams[:q.sorted], s, func(other, s *WaitingStream) int { return compareWaiting(other, s, now) })
+	if n == 0 {
+		return 0
+	}
+	last := q.streams[n-1]
+	return last.ahead.Tokens + last.PromptTokens
+}
+
+// SharedTargets are the numbers of targets of two queues that compete for some of them.
+type SharedTargets struct{ Own, Other, Both int }
+
+// AddCompeting adds the prompt tokens before the stream in another queue as far as they
+// compete with it: the part that the targets of both queues serve. Streams whose queue has
+// further targets use these instead, so the work ahead of them does not take longer than with
+// these targets alone.
+func (a *QueueAhead) AddCompeting(tokens int, n SharedTargets) {
+	if n.Both == 0 || n.Other == 0 {
+		return
+	}
+	competing := tokens * n.Both / n.Other
+	if n.Own > n.Both {
+		competing = min(competing, a.Tokens*n.Both/(n.Own-n.Both))
+	}
+	a.Tokens += competing
+}
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -19,21 +19,27 @@
 // is no target, the stream is refused, ctx ends, or the gateway stops while the stream waits.
 func (g *Gateway) admitStream(ctx context.Context, req *request) *registry.Target {
 	search := g.newAdmissionSearch(req)
-	queue := g.waitQueues.of(req.service.Name)
+	queue := g.waitQueues.of(search.queueKey())
 	queue.add(search.waiting)
-	defer queue.remove(search.waiting)
+	defer func() { queue.remove(search.waiting) }()
 	for {
+		// A new configuration may limit the stream to fewer regions.
+		if key := search.queueKey(); key != queue.key {
+			queue.remove(search.waiting)
+			queue = g.waitQueues.of(key)
+			queue.add(search.waiting)
+		}
 		ahead, pace := queue.ahead(search.waiting, g.members.Count())
-		targets, candidates := search.candidates(queue, ahead.Ahead)
+		search.update(pace)
+		targets, candidates, admission := search.decide(queue, ahead)
 		if len(targets) == 0 {
 			return g.awaitTarget(ctx, req, req.triedTargets)
 		}
-		search.update(pace)
-		admission := decision.Admit(&search.work, candidates, ahead)
 		if admission.Action == decision.AdmitRefuse {
 			search.refuse(&admission, targets, ahead)
 			return nil
 		}
+		queue.setNoRoom(search.waiting, admission.HasNoRoom())
 		if t := search.reserveAny(ctx, targets, candidates, &admission); t != nil {
 			search.logStart(t, &admission, targets, ahead)
 			return t
@@ -56,20 +62,38 @@
 // service.
 type waitQueues struct {
 	mu        sync.Mutex
-	byService map[string]*waitQueue
+	byService map[string]*serviceQueues
 	waiting   atomic.Int64
 }
 
+// serviceQueues are the waiting streams of a service. Streams with the same regions form one
+// queue: others may use different targets.
+type serviceQueues struct {
+	mu        sync.Mutex
+	byRegions map[string]*waitQueue
+	shares    decision.UsualShares
+	pace      decision.PrefillPace
+}
+
+// queueKey identifies a waitQueue: the service and the key of the allowed regions.
+type queueKey struct{ service, regions string }
+
 type waitQueue struct {
-	mu      sync.Mutex
-	streams decision.WaitQueue
-	shares  decision.UsualShares
-	pace    decision.PrefillPace
+	key     queueKey
+	service *serviceQueues
 	waiting *atomic.Int64
-	// targets and candidates are the targets and their loads at readAt, for the streams
-	// that do not search. They are not modified.
+	// streams is guarded by service.mu.
+	streams decision.WaitQueue
+	// snapshot holds the loads of the targets for streams that do not search.
+	snapshot atomic.Pointer[loadSnapshot]
+	reading  atomic.Bool
+}
+
+// loadSnapshot holds the targets of a queue and their loads at a time. It is immutable.
+type loadSnapshot struct {
 	targets    []*registry.Target
 	candidates []decision.PlacementTarget
+	ids        map[string]bool
 	readAt     time.Time
 }
 
@@ -77,71 +101,136 @@
 // whether it still waits. Load reports are as old.
 const snapshotAge = 50 * time.Millisecond
 
-// candidates returns the targets of a stream and their loads. Streams behind the ones that
-// search share a snapshot: with 400 targets, reading the loads takes longer than the decision.
-func (s *admissionSearch) candidates(queue *waitQueue, ahead int) ([]*registry.Target, []decision.PlacementTarget) {
+// queueKey returns the key of the queue in which the stream waits.
+func (s *admissionSearch) queueKey() queueKey {
 	eligible := s.g.eligibility(s.req)
-	if ahead < decision.MaxSearching || len(s.req.triedTargets) > 0 || eligible.isRestricted() {
-		return s.g.placementCandidates(s.req, s.req.triedTargets)
+	return queueKey{service: s.req.service.Name, regions: eligible.regions.Key()}
+}
+
+// decide returns the targets of a stream, their loads and the decision about the stream.
+// Streams behind the ones that search, and streams that found no room, share a snapshot of
+// the loads: with 400 targets, reading them takes longer than the decision. A stream that has
+// room by the snapshot decides by the current loads.
+func (s *admissionSearch) decide(queue *waitQueue, ahead decision.QueueAhead) ([]*registry.Target, []decision.PlacementTarget, decision.Admission) {
+	snapshot := queue.currentSnapshot(s)
+	if len(s.req.triedTargets) == 0 && (ahead.Ahead >= decision.MaxSearching || s.foundNoRoom) {
+		if a := decision.Admit(&s.work, snapshot.candidates, ahead); len(a.Rooms) == 0 && len(snapshot.targets) > 0 {
+			return snapshot.targets, snapshot.candidates, a
+		}
 	}
-	queue.mu.Lock()
-	defer queue.mu.Unlock()
-	if now := time.Now(); now.Sub(queue.readAt) > snapshotAge {
-		queue.targets, queue.candidates = s.g.placementCandidates(s.req, nil)
-		queue.readAt = now
+	targets, candidates := s.g.placementCandidates(s.req, s.req.triedTargets)
+	a := decision.Admit(&s.work, candidates, ahead)
+	s.foundNoRoom = a.HasNoRoom()
+	return targets, candidates, a
+}
+
+// currentSnapshot returns the loads of the targets of the queue. One stream reads them again
+// at their age, while others use the last ones.
+func (q *waitQueue) currentSnapshot(s *admissionSearch) *loadSnapshot {
+	last := q.snapshot.Load()
+	if last != nil && (time.Since(last.readAt) <= snapshotAge || !q.reading.CompareAndSwap(false, true)) {
+		return last
 	}
-	return queue.targets, queue.candidates
+	next := &loadSnapshot{ids: map[string]bool{}, readAt: time.Now()}
+	next.targets, next.candidates = s.g.placementCandidates(s.req, nil)
+	for _, t := range next.targets {
+		next.ids[t.ID] = true
+	}
+	q.snapshot.Store(next)
+	q.reading.Store(false)
+	return next
 }
 
-func (q *waitQueues) of(service string) *waitQueue {
+func (q *waitQueues) ofService(service string) *serviceQueues {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.byService == nil {
-		q.byService = map[string]*waitQueue{}
+		q.byService = map[string]*serviceQueues{}
+	}
+	queues := q.byService[service]
+	if queues == nil {
+		queues = &serviceQueues{byRegions: map[string]*waitQueue{}}
+		q.byService[service] = queues
 	}
-	queue := q.byService[service]
+	return queues
+}
+
+func (q *waitQueues) of(key queueKey) *waitQueue {
+	service := q.ofService(key.service)
+	service.mu.Lock()
+	defer service.mu.Unlock()
+	queue := service.byRegions[key.regions]
 	if queue == nil {
-		queue = &waitQueue{waiting: &q.waiting}
-		q.byService[service] = queue
+		queue = &waitQueue{key: key, service: service, waiting: &q.waiting}
+		service.byRegions[key.regions] = queue
 	}
 	return queue
 }
 
 func (q *waitQueue) add(s *decision.WaitingStream) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
+	q.service.mu.Lock()
+	defer q.service.mu.Unlock()
 	q.streams.Add(s, time.Now())
 	q.waiting.Add(1)
 }
 
 func (q *waitQueue) remove(s *decision.WaitingStream) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
+	q.service.mu.Lock()
+	defer q.service.mu.Unlock()
 	q.streams.Remove(s)
 	q.waiting.Add(-1)
 }
 
+func (q *waitQueue) setNoRoom(s *decision.WaitingStream, noRoom bool) {
+	q.service.mu.Lock()
+	defer q.service.mu.Unlock()
+	q.streams.SetNoRoom(s, noRoom)
+}
+
 // observeFirstEvent counts the prefill of a stream that had a reservation.
 func (q *waitQueues) observeFirstEvent(req *request, now time.Time) {
 	if req.expectedPrefill == 0 {
 		return
 	}
-	queue := q.of(req.service.Name)
-	queue.mu.Lock()
-	defer queue.mu.Unlock()
-	queue.pace.Observe(req.expectedPrefill, now.Sub(req.reservedAt))
+	queues := q.ofService(req.service.Name)
+	queues.mu.Lock()
+	defer queues.mu.Unlock()
+	queues.pace.Observe(req.expectedPrefill, now.Sub(req.reservedAt))
 	req.expectedPrefill = 0
 }
 
+// ahead returns the work ahead of a stream, also in other queues as far as they use the same
+// targets, and the pace of the service.
 func (q *waitQueue) ahead(s *decision.WaitingStream, members int) (ahead decision.QueueAhead, pace float64) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.streams.Ahead(s, members, time.Now()), q.pace.Factor()
+	now := time.Now()
+	q.service.mu.Lock()
+	defer q.service.mu.Unlock()
+	ahead = q.streams.Ahead(s, members, now)
+	own := q.snapshot.Load()
+	for _, other := range q.service.byRegions {
+		if theirs := other.snapshot.Load(); other != q && own != nil && theirs != nil {
+			if tokens := other.streams.TokensBefore(s, now); tokens > 0 {
+				ahead.AddCompeting(tokens, own.shared(theirs))
+			}
+		}
+	}
+	return ahead, q.service.pace.Factor()
+}
+
+// shared counts the targets that two queues use.
+func (l *loadSnapshot) shared(other *loadSnapshot) decision.SharedTargets {
+	n := decision.SharedTargets{Own: len(l.targets), Other: len(other.targets)}
+	for _, t := range l.targets {
+		if other.ids[t.ID] {
+			n.Both++
+		}
+	}
+	return n
 }
 
 // observeShare counts a request and reports whether it exceeds the usual share of its
 // workspace.
-func (q *waitQueue) observeShare(workspace string, promptTokens int) bool {
+func (q *serviceQueues) observeShare(workspace string, promptTokens int) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return q.shares.Observe(time.Now(), workspace, promptTokens)
@@ -155,6 +244,8 @@
 	waiting *decision.WaitingStream
 	// busy is set if a sidecar has denied a reservation because of its backlog.
 	busy bool
+	// foundNoRoom is set if the last search by current loads found no room.
+	foundNoRoom bool
 	// reservedTokens is the backlog of the engine that has granted the reservation, with the
 	// prompt of the stream; 0 if unknown.
 	reservedTokens int
@@ -163,7 +254,7 @@
 func (g *Gateway) newAdmissionSearch(req *request) *admissionSearch {
 	req.expectedPrefill = 0
 	if len(req.triedTargets) == 0 {
-		req.overShare = g.waitQueues.of(req.service.Name).observeShare(req.workspace, req.PromptTokens)
+		req.overShare = g.waitQueues.ofService(req.service.Name).observeShare(req.workspace, req.PromptTokens)
 	}
 	s := &admissionSearch{g: g, req: req, work: decision.AdmissionWork{
 		PlacementWork: req.placementWork(), ID: req.ID, Objective: req.route.TargetLatency,
--- a/routing/regions.go
+++ b/routing/regions.go
@@ -1,6 +1,9 @@
 package routing
 
-import "slices"
+import (
+	"slices"
+	"strings"
+)
 
 // Regions is the set of regions in which a request may be served and its data may be held.
 // The zero value allows every region.
@@ -26,6 +29,17 @@
 // Names returns the regions of a limited set.
 func (r Regions) Names() []string { return r.names }
 
+// Key returns a string that is equal for sets with the same regions, whatever their order.
+func (r Regions) Key() string {
+	if !r.limited {
+		return ""
+	}
+	names := slices.Clone(r.names)
+	slices.Sort(names)
+	// The leading separator distinguishes a set without any region from no limit.
+	return "\x00" + strings.Join(slices.Compact(names), "\x00")
+}
+
 // Intersect returns the regions that both sets allow.
 func (r Regions) Intersect(other Regions) Regions {
 	if !r.limited {
--- a/routing/regions_test.go
+++ b/routing/regions_test.go
@@ -50,3 +50,13 @@
 		}
 	})
 }
+
+// Guards against two queues for streams that may use the same targets.
+func TestKeyOfRegionsIgnoresTheOrder(t *testing.T) {
+	convey.Convey("Equal sets have equal keys", t, func() {
+		key := LimitedTo([]string{"north", "south"}).Key()
+		convey.So(LimitedTo([]string{"south", "north", "south"}).Key(), convey.ShouldEqual, key)
+		convey.So(LimitedTo([]string{"north"}).Key(), convey.ShouldNotEqual, key)
+		convey.So(Regions{}.Key(), convey.ShouldNotEqual, LimitedTo([]string{"north"}).Intersect(LimitedTo([]string{"south"})).Key())
+	})
+}
