decision: bound each observation of the pace of prefills

One first event of 10 s after 200 of 300 ms raised the pace to 2.62, and 41 normal ones were needed until it was below 1.2. Each observation is now at most three times the expectation, so the same event raises it to 1.1. A first event after a failover is not observed: it measures the failover.

--- a/decision/overload.go
+++ b/decision/overload.go
@@ -185,7 +185,9 @@
 	// paceWeight is the weight of a stream in the average, which follows a change within
 	// some twenty streams.
 	paceWeight = 0.05
-	// maxPace bounds the effect of prefills that waited for something else, such as memory.
+	// maxPace bounds the factor and each observation: a prefill may have waited for something
+	// else, such as memory. Without the bound on observations, one first event after 10 s in
+	// place of 0.3 s raised the factor to 2.6.
 	maxPace = 3
 )
 
@@ -197,6 +199,7 @@
 	if p.expected == 0 {
 		p.expected, p.actual = float64(expected), float64(expected)
 	}
+	actual = min(actual, maxPace*expected)
 	p.expected += (float64(expected) - p.expected) * paceWeight
 	p.actual += (float64(actual) - p.actual) * paceWeight
 }
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -50,3 +50,17 @@
 		t.Fatalf("the snapshot contains %d targets during the evacuation", got)
 	}
 }
+
+// Guards against a first event after a failover that counts as the prefill of the target that
+// granted the reservation.
+func TestFirstEventAfterFailoverIsNotObserved(t *testing.T) {
+	g := newEligibilityGateway(t)
+	g.table.Store(routing.NewTable(1, []routing.Route{{Name: "stream", Host: "h", Prefix: "/", Kind: routing.Stream}}, nil, nil, routing.Limits{}))
+	s := &streamRequest{g: g, req: newEligibilityRequest(g)}
+	s.req.reservedAt, s.req.expectedPrefill = time.Now().Add(-time.Second), 100*time.Millisecond
+	s.nextSegment(t.Context(), &segment{target: targetIn(g, "a"), startedAt: time.Now()}, segmentBroken, 0)
+	g.waitQueues.observeFirstEvent(s.req, time.Now())
+	if pace := g.waitQueues.ofService("engines").pace.Factor(); pace != 1 {
+		t.Fatalf("the pace is %v", pace)
+	}
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -134,6 +134,8 @@
 		return nil
 	}
 	if segResult == segmentBroken {
+		// The first event of a later segment does not measure the reserved target.
+		s.req.expectedPrefill = 0
 		// The target may have used the copy, or may still run the request.
 		s.freeKept()
 		if !s.retrySpent {
