decision: leave unreachable targets out of the test for calm

Unreachable engines counted with their slots and their backlog, so idle ones hid the overload of the others and full ones cancelled calm. Only reachable targets count now.

--- a/decision/overload.go
+++ b/decision/overload.go
@@ -214,22 +214,23 @@
 
 // forecast sets the values that decide, except for the rooms.
 func (a *Admission) forecast(w *AdmissionWork, targets []PlacementTarget, ahead QueueAhead) {
-	var requests, slots, backlog int
+	var requests, slots, backlog, reachable int
 	tokensPerMilli, fastest, earliest := 0.0, math.Inf(1), math.Inf(1)
 	for i := range targets {
 		t := &targets[i]
-		requests += t.Requests
-		slots += t.Slots
-		backlog += t.PrefillTokens
 		if t.Unreachable {
 			continue
 		}
+		reachable++
+		requests += t.Requests
+		slots += t.Slots
+		backlog += t.PrefillTokens
 		millis := targetTokenMillis(t) * max(w.Pace, 1)
 		tokensPerMilli += 1 / millis
 		fastest = min(fastest, millis)
 		earliest = min(earliest, millis*float64(t.PrefillTokens+w.PromptTokens))
 	}
-	quiet := float64(requests) < calmSlotShare*float64(slots) && backlog < calmBacklogTokens*len(targets)
+	quiet := float64(requests) < calmSlotShare*float64(slots) && backlog < calmBacklogTokens*reachable
 	a.Calm = quiet && ahead.Others < MaxSearching
 	a.Useful = min(w.Patience, w.Limit-time.Duration(w.OutputTokens)*stepMillis*time.Millisecond)
 	if math.IsInf(earliest, 1) {
