decision: the simulation counts streams that are complete by their limit

A stream counted as on time by its first event alone. It counts now when its last event is generated, if that is within its limit; the simulation runs for 6 s after the last arrivals so that streams end.

--- a/decision/overload_test.go
+++ b/decision/overload_test.go
@@ -29,8 +29,8 @@
 	now               time.Time
 	tick              int
 	waiting           []*surgeStream
-	onTimePerSecond   [surgeSeconds]float64
-	arrived, onTime   [2][surgeSeconds]float64
+	onTimePerSecond   [surgeSeconds + surgeDrain]float64
+	arrived, onTime   [2][surgeSeconds + surgeDrain]float64
 	// inBurst counts the streams of the burst that arrived and that were on time: those of
 	// other workspaces and of the one at 8 times its share.
 	inBurst            [2]struct{ arrived, onTime float64 }
@@ -45,6 +45,8 @@
 	surgeLeave       = 9
 	surgeEnd         = 14
 	surgeSeconds     = 21
+	// surgeDrain is the time after the last arrivals in which streams end, in seconds.
+	surgeDrain       = 6
 	surgeEngines     = 41
 	surgeWorkspaces  = 10
 	surgeSlots       = 24
@@ -74,6 +76,9 @@
 	events    int
 	sent      time.Time
 	expected  time.Duration
+	// firstOnTime is set if the first event was on time, firstSecond is when it was.
+	firstOnTime bool
+	firstSecond int
 }
 
 func (st *surgeStream) inBurst() bool { return st.second >= surgeStart && st.second < surgeEnd }
@@ -141,6 +146,8 @@
 		for _, st := range e.decoding {
 			if st.events++; st.events < st.work.OutputTokens {
 				running = append(running, st)
+			} else {
+				s.complete(st)
 			}
 		}
 		e.decoding = running
@@ -154,7 +161,16 @@
 		s.late++
 		return
 	}
-	s.onTimePerSecond[s.tick/ticksPerSecond]++
+	st.firstOnTime, st.firstSecond = true, s.tick/ticksPerSecond
+}
+
+// complete counts a stream whose last event is generated. It is on time if its first event
+// was and if it is complete within its limit.
+func (s *surge) complete(st *surgeStream) {
+	if !st.firstOnTime || s.now.Sub(st.arrived) > st.work.Limit {
+		return
+	}
+	s.onTimePerSecond[st.firstSecond]++
 	s.onTime[st.kind][st.second]++
 	if st.inBurst() {
 		s.inBurst[st.hog].onTime++
@@ -314,8 +330,10 @@
 		q := s.queues[s.rng.IntN(s.gateways)]
 		q.shares.Observe(s.now.Add(-ago), fmt.Sprint(s.rng.IntN(surgeWorkspaces)), 2500)
 	}
-	for ; s.tick < surgeSeconds*ticksPerSecond; s.tick++ {
-		s.arrive()
+	for ; s.tick < (surgeSeconds+surgeDrain)*ticksPerSecond; s.tick++ {
+		if s.tick < surgeSeconds*ticksPerSecond {
+			s.arrive()
+		}
 		waiting := s.waiting
 		s.waiting = nil
 		for _, st := range waiting {
