--- a/decision/usualshare.go
+++ b/decision/usualshare.go
@@ -1,7 +1,6 @@
 package decision
 
 import (
-	"maps"
 	"math"
 	"time"
 )
@@ -13,12 +12,14 @@
 type UsualShares struct {
 	byWorkspace map[string]*workspaceLoad
 	total       workspaceLoad
-	at          time.Time
 }
 
 // workspaceLoad is load within the share in prompt tokens, decayed with the two time
-// constants.
-type workspaceLoad struct{ recent, usual float64 }
+// constants until at.
+type workspaceLoad struct {
+	recent, usual float64
+	at            time.Time
+}
 
 func (l *workspaceLoad) add(tokens float64) {
 	l.recent += tokens
@@ -37,8 +38,10 @@
 	// shareSlackTokens is what a workspace may use in addition: three prompts, since few
 	// streams of a workspace reach one process within recentTime.
 	shareSlackTokens = 8000
-	// maxWorkspaces limits the number of workspaces that are remembered.
-	maxWorkspaces = 4096
+	// maxWorkspaces limits the number of workspaces that are remembered. A new one replaces
+	// the one of the least usual load among evictionSamples others.
+	maxWorkspaces   = 4096
+	evictionSamples = 16
 )
 
 // Observe counts a stream and reports whether it exceeds the share of its workspace.
@@ -46,12 +49,16 @@
 	if u.byWorkspace == nil {
 		u.byWorkspace = map[string]*workspaceLoad{}
 	}
-	u.decay(now)
+	u.total.decay(now)
 	load := u.byWorkspace[workspace]
 	if load == nil {
-		load = &workspaceLoad{}
+		if len(u.byWorkspace) >= maxWorkspaces {
+			u.evict(now)
+		}
+		load = &workspaceLoad{at: now}
 		u.byWorkspace[workspace] = load
 	}
+	load.decay(now)
 	tokens := float64(promptTokens)
 	share := 1 / float64(len(u.byWorkspace))
 	if load.usual > 0 {
@@ -65,23 +72,30 @@
 	return false
 }
 
-func (u *UsualShares) decay(now time.Time) {
-	elapsed := now.Sub(u.at)
-	if elapsed <= 0 {
-		return
-	}
-	u.at = now
-	recent, usual := math.Exp(-float64(elapsed)/float64(recentTime)), math.Exp(-float64(elapsed)/float64(usualTime))
-	if len(u.byWorkspace) > maxWorkspaces {
-		maps.DeleteFunc(u.byWorkspace, func(_ string, l *workspaceLoad) bool { return l.recent < 1 })
-	}
-	u.total.decay(recent, usual)
-	for _, l := range u.byWorkspace {
-		l.decay(recent, usual)
+// evict removes the workspace of the least usual load among some, with its part of the total.
+func (u *UsualShares) evict(now time.Time) {
+	name, least := "", math.Inf(1)
+	samples := 0
+	for other, l := range u.byWorkspace {
+		if l.decay(now); l.usual < least {
+			name, least = other, l.usual
+		}
+		if samples++; samples == evictionSamples {
+			break
+		}
 	}
+	l := u.byWorkspace[name]
+	u.total.recent, u.total.usual = max(u.total.recent-l.recent, 0), max(u.total.usual-l.usual, 0)
+	delete(u.byWorkspace, name)
 }
 
-func (l *workspaceLoad) decay(recent, usual float64) {
-	l.recent *= recent
-	l.usual *= usual
+// decay decays the load until now.
+func (l *workspaceLoad) decay(now time.Time) {
+	elapsed := now.Sub(l.at)
+	if elapsed <= 0 {
+		return
+	}
+	l.at = now
+	l.recent *= math.Exp(-float64(elapsed) / float64(recentTime))
+	l.usual *= math.Exp(-float64(elapsed) / float64(usualTime))
 }
