gateway: answer waiting streams with the stopping error, and await holds outside the queue

A stream that waited for room when the gateway stopped got NoTarget, which asks clients to return to a service without targets; it gets the error of a stop now, also without admission. A stream whose targets are all held waited for the end of the hold as part of the queue, where it counted against calm and took a search place; it leaves the queue first.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -18,42 +18,56 @@
 // waits, and it is refused if it can be of no use any more. admitStream returns nil if there
 // is no target, the stream is refused, ctx ends, or the gateway stops while the stream waits.
 func (g *Gateway) admitStream(ctx context.Context, req *request) *registry.Target {
-	search := g.newAdmissionSearch(req)
-	queue := g.waitQueues.of(search.queueKey())
-	queue.add(search.waiting)
-	defer func() { queue.remove(search.waiting) }()
+	t, hasTargets := g.newAdmissionSearch(req).run(ctx)
+	if !hasTargets {
+		// A stream that waits for the end of a hold takes no place in the queue.
+		return g.awaitTarget(ctx, req, req.triedTargets)
+	}
+	return t
+}
+
+// run searches until the stream has a target or is given up; it reports false if there is no
+// target to search.
+func (s *admissionSearch) run(ctx context.Context) (_ *registry.Target, hasTargets bool) {
+	queue := s.g.waitQueues.of(s.queueKey())
+	queue.add(s.waiting)
+	defer func() { queue.remove(s.waiting) }()
 	for {
 		// A new configuration may limit the stream to fewer regions.
-		if key := search.queueKey(); key != queue.key {
-			queue.remove(search.waiting)
-			queue = g.waitQueues.of(key)
-			queue.add(search.waiting)
+		if key := s.queueKey(); key != queue.key {
+			queue.remove(s.waiting)
+			queue = s.g.waitQueues.of(key)
+			queue.add(s.waiting)
 		}
-		ahead, pace := queue.ahead(search.waiting, g.members.Count())
-		search.update(pace)
-		targets, candidates, admission := search.decide(queue, ahead)
+		ahead, pace := queue.ahead(s.waiting, s.g.members.Count())
+		s.update(pace)
+		targets, candidates, admission := s.decide(queue, ahead)
 		if len(targets) == 0 {
-			return g.awaitTarget(ctx, req, req.triedTargets)
+			return nil, false
 		}
 		if admission.Action == decision.AdmitRefuse {
-			search.refuse(&admission, targets, ahead)
-			return nil
+			s.refuse(&admission, targets, ahead)
+			return nil, true
 		}
-		queue.setNoRoom(search.waiting, admission.HasNoRoom())
-		if t := search.reserveAny(ctx, targets, candidates, &admission); t != nil {
-			search.logStart(t, &admission, targets, ahead)
-			return t
+		queue.setNoRoom(s.waiting, admission.HasNoRoom())
+		if t := s.reserveAny(ctx, targets, candidates, &admission); t != nil {
+			s.logStart(t, &admission, targets, ahead)
+			return t, true
 		}
-		if admission.MayStartAnywhere(&search.work, search.busy) {
-			t := g.chooseTarget(req, req.triedTargets)
+		if admission.MayStartAnywhere(&s.work, s.busy) {
+			t := s.g.chooseTarget(s.req, s.req.triedTargets)
 			if t != nil {
-				search.reserve(ctx, t, &decision.Room{MaxPrefill: unlimited, MaxKVTokens: unlimited}, false)
-				search.logStart(t, &admission, targets, ahead)
+				s.reserve(ctx, t, &decision.Room{MaxPrefill: unlimited, MaxKVTokens: unlimited}, false)
+				s.logStart(t, &admission, targets, ahead)
 			}
-			return t
+			return t, true
 		}
-		if g.stopping.Load() || !sleep(ctx, minRoomDelay+rand.N(maxRoomDelay-minRoomDelay)) {
-			return nil
+		if s.g.stopping.Load() {
+			s.req.notPlaced = stoppingError()
+			return nil, true
+		}
+		if !sleep(ctx, minRoomDelay+rand.N(maxRoomDelay-minRoomDelay)) {
+			return nil, true
 		}
 	}
 }
@@ -314,7 +328,7 @@
 // refuse gives a stream up. The values that decided are in the log.
 func (s *admissionSearch) refuse(a *decision.Admission, targets []*registry.Target, ahead decision.QueueAhead) {
 	s.g.metrics.recordAdmission(s.req.route.Name, a.Action, a.Reason)
-	s.req.overloaded = result.New(result.Overloaded, result.RanNo, "%s", a.Reason).RetryAfter(a.RetryAfter)
+	s.req.notPlaced = result.New(result.Overloaded, result.RanNo, "%s", a.Reason).RetryAfter(a.RetryAfter)
 	telemetry.Info(s.g.opts.Logger, "given up", append(s.fields(a, targets, ahead), "reason", a.Reason, "waited_ms", s.work.Waited.Milliseconds(),
 		"retry_after_ms", a.RetryAfter.Milliseconds())...)
 }
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/quetzalglade/quetzalglade/decision"
+	"github.com/quetzalglade/quetzalglade/registry"
+	"github.com/quetzalglade/quetzalglade/result"
 	"github.com/quetzalglade/quetzalglade/routing"
 )
 
@@ -64,3 +66,41 @@
 		t.Fatalf("the pace is %v", pace)
 	}
 }
+
+// Guards against a stream that waits for the end of a hold and keeps its place in the queue
+// of those that wait for room.
+func TestStreamThatWaitsForAHoldIsNotInTheQueue(t *testing.T) {
+	g := newEligibilityGateway(t)
+	g.table.Store(routing.NewTable(1, []routing.Route{{Name: "stream", Host: "h", Prefix: "/", Kind: routing.Stream}}, nil, nil, routing.Limits{}))
+	req := newWaitingSearch(g).req
+	for _, target := range g.targets.Snapshot().All() {
+		target.Load.Shed(time.Now(), 200*time.Millisecond)
+	}
+	placed := make(chan *registry.Target, 1)
+	go func() { placed <- g.admitStream(t.Context(), req) }()
+	time.Sleep(100 * time.Millisecond)
+	if n := g.waitQueues.waiting.Load(); n != 0 {
+		t.Fatalf("%d streams are in the queue", n)
+	}
+	if <-placed == nil {
+		t.Fatal("the stream has no target after the hold")
+	}
+}
+
+// Guards against a stream that waits for room when the gateway stops and is answered as if
+// the service had no targets.
+func TestWaitingStreamGetsTheStoppingError(t *testing.T) {
+	g := newEligibilityGateway(t)
+	g.table.Store(routing.NewTable(1, []routing.Route{{Name: "stream", Host: "h", Prefix: "/", Kind: routing.Stream}}, nil, nil, routing.Limits{}))
+	req := newWaitingSearch(g).req
+	for _, target := range g.targets.Snapshot().All() {
+		target.Load.PrefillTokens.Add(9000)
+	}
+	g.stopping.Store(true)
+	if got := g.admitStream(t.Context(), req); got != nil {
+		t.Fatalf("the stream starts at %s", got.ID)
+	}
+	if req.notPlaced == nil || req.notPlaced.Code != result.TargetLeaving {
+		t.Fatalf("the error is %v", req.notPlaced)
+	}
+}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -38,14 +38,15 @@
 	triedTargets map[string]bool
 	// sentTo holds the addresses of the targets that may have received the request.
 	sentTo map[string]bool
-	// overShare is set if the request exceeds the usual share of its workspace. overloaded
-	// is the error of a request that was given up under overload.
+	// overShare is set if the request exceeds the usual share of its workspace. notPlaced is
+	// the error of a stream that was given up under overload or whose wait for room ended with
+	// the stop of the gateway.
 	overShare bool
 	// reservedAt is when an engine's sidecar granted a reservation, expectedPrefill the
 	// expected time from then to the first event; 0 if unknown.
 	reservedAt      time.Time
 	expectedPrefill time.Duration
-	overloaded      *result.Error
+	notPlaced       *result.Error
 }
 
 func (r *request) remaining(now time.Time) time.Duration { return r.deadline.Sub(now) }
--- a/gateway/holdback.go
+++ b/gateway/holdback.go
@@ -53,7 +53,11 @@
 			}
 			return t
 		}
-		if g.stopping.Load() || !sleep(ctx, minRoomDelay+rand.N(maxRoomDelay-minRoomDelay)) {
+		if g.stopping.Load() {
+			req.notPlaced = stoppingError()
+			return nil
+		}
+		if !sleep(ctx, minRoomDelay+rand.N(maxRoomDelay-minRoomDelay)) {
 			return nil
 		}
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -198,8 +198,8 @@
 		s.g.respondError(s.w, s.req, stoppingError())
 		return
 	}
-	if s.req.overloaded != nil {
-		s.g.respondError(s.w, s.req, s.req.overloaded)
+	if s.req.notPlaced != nil {
+		s.g.respondError(s.w, s.req, s.req.notPlaced)
 		return
 	}
 	s.g.respondError(s.w, s.req, s.g.unavailableError(s.req, result.New(result.NoTarget, result.RanNo, "no target takes this").RetryAfter(noTargetRetryAfter)))
