decision: bound the effect of a client's output estimate on refusals

A client that states a large output was refused at once: the time for the estimated output exceeded its deadline. The estimate now takes at most half of the limit.

--- a/decision/overload.go
+++ b/decision/overload.go
@@ -73,6 +73,9 @@
 	// time for another try. With a quarter, work was refused at a load equal to the
 	// capacity.
 	lateWaitShare = 0.5
+	// maxOutputShare bounds the time for the output as a part of the limit. The client's
+	// estimate of its output may be far too high, and must not cause a refusal by itself.
+	maxOutputShare = 0.5
 	// maxRetryShare is the part of the remaining time up to which clients honour a retry
 	// delay.
 	maxRetryShare = 1.0 / 3
@@ -242,7 +245,8 @@
 	}
 	quiet := float64(requests) < calmSlotShare*float64(slots) && backlog < calmBacklogTokens*reachable
 	a.Calm = quiet && ahead.Others < MaxSearching
-	a.Useful = min(w.Patience, w.Limit-time.Duration(w.OutputTokens)*stepMillis*time.Millisecond)
+	output := min(time.Duration(w.OutputTokens)*stepMillis*time.Millisecond, time.Duration(maxOutputShare*float64(w.Limit)))
+	a.Useful = min(w.Patience, w.Limit-output)
 	if math.IsInf(earliest, 1) {
 		// No engine is known to answer, so there is nothing to estimate from.
 		a.Calm = true
--- a/decision/overloadadmit_test.go
+++ b/decision/overloadadmit_test.go
@@ -105,3 +105,17 @@
 		convey.So(rooms(work(false, nil), target(26000), target(10000)), convey.ShouldEqual, 2)
 	})
 }
+
+// Guards against a stream that is refused at once because of its client's estimate of the
+// output alone.
+func TestOutputHintAloneCausesNoRefusal(t *testing.T) {
+	w := AdmissionWork{
+		PlacementWork: PlacementWork{PromptTokens: 2200}, Objective: 1500 * time.Millisecond, Patience: 6 * time.Second, Limit: 6 * time.Second, OutputTokens: 100000,
+	}
+	target := PlacementTarget{Slots: 24, Requests: 20, DecodingStreams: 20, PrefillTokens: 1300}
+	convey.Convey("A stream with a large estimate starts if it finds room", t, func() {
+		convey.So(Admit(&w, []PlacementTarget{target}, QueueAhead{}).Action, convey.ShouldEqual, AdmitOnTime)
+		w.Waited = 4 * time.Second
+		convey.So(Admit(&w, []PlacementTarget{target}, QueueAhead{}).Action, convey.ShouldEqual, AdmitRefuse)
+	})
+}
