--- a/decision/overload.go
+++ b/decision/overload.go
@@ -54,7 +54,7 @@
 	stepMillis = 7
 	// minHeldBacklogTokens is the backlog at which held work may start at any engine. With half
 	// a usual prompt, 0.84 of the urgent streams were on time at three times the capacity in
-	// place of 0.90.
+	// place of 0.89.
 	minHeldBacklogTokens = 800
 	// usualPromptTokens is the size of a usual prompt. Larger ones count as usual in the limits
 	// that protect other work, and long held work of any size does: with limits by the size,
@@ -388,9 +388,8 @@
 // time, since otherwise it would find room at idle engines only, and under overload none is
 // idle.
 func maxOnTimeBacklog(w *AdmissionWork, t *PlacementTarget) int {
-	tokensWithin := func(d time.Duration) int {
-		return int(float64(d) / float64(time.Millisecond) / (targetTokenMillis(t) * max(w.Pace, 1)))
-	}
+	tokensPerNano := 1 / (targetTokenMillis(t) * max(w.Pace, 1) * float64(time.Millisecond))
+	tokensWithin := func(d time.Duration) int { return int(float64(d) * tokensPerNano) }
 	limit := tokensWithin(time.Duration(ownShare*float64(w.Objective))) - min(w.PromptTokens, usualPromptTokens)
 	if h := w.Holdback; h != nil {
 		held := heldBacklog(h, usualPromptTokens, t)
