--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -355,29 +355,16 @@
 // reserve reserves for a request at the sidecar of a target. It reports false only if the
 // sidecar denies it.
 func (s *admissionSearch) reserve(ctx context.Context, t *registry.Target, room *decision.Room, late bool) bool {
-	if t.Load.Report(time.Now(), maxLoadReportAge) == nil {
-		return true
-	}
-	addr, err := sidecarAddr(t.Addr, s.g.opts.SidecarPort)
-	if err != nil {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
-	defer cancel()
-	reservation, err := s.g.opts.SidecarWatcher.Reserve(ctx, addr, &sidecar.Reservation{
-		RequestID: s.req.ID, PromptTokens: s.work.PromptTokens, KVTokens: s.work.KVTokens,
-		MaxPrefillTokens: room.MaxPrefill, MaxKVTokens: room.MaxKVTokens, Late: late,
+	granted, report := s.g.reserveAt(ctx, s.req, t, &sidecar.Reservation{
+		PromptTokens: s.work.PromptTokens, KVTokens: s.work.KVTokens, MaxPrefillTokens: room.MaxPrefill, MaxKVTokens: room.MaxKVTokens, Late: late,
 	})
-	if err != nil {
-		telemetry.Info(s.g.opts.Logger, "reservation failed", "request", s.req.ID, "target", t.ID, "err", err)
-		return true
-	}
-	if reservation.Report != nil && reservation.Granted {
-		s.reservedTokens = reservation.Report.PrefillTokens
+	if report == nil {
+		return granted
 	}
-	if reservation.Report != nil && !reservation.Granted {
-		t.Load.RaiseBacklog(reservation.Report.PrefillTokens)
-		s.busy = s.busy || room.MaxPrefill != unlimited && reservation.Report.PrefillTokens > room.MaxPrefill
+	if granted {
+		s.reservedTokens = report.PrefillTokens
+	} else {
+		s.busy = s.busy || room.MaxPrefill != unlimited && report.PrefillTokens > room.MaxPrefill
 	}
-	return reservation.Granted
+	return granted
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -47,6 +47,10 @@
 	reservedAt      time.Time
 	expectedPrefill time.Duration
 	notPlaced       *result.Error
+	// coldGrant is the last grant for a cold target. coldDeniedAt is when a cold target
+	// first denied the request.
+	coldGrant    coldGrant
+	coldDeniedAt time.Time
 }
 
 func (r *request) remaining(now time.Time) time.Duration { return r.deadline.Sub(now) }
--- a/gateway/holdback.go
+++ b/gateway/holdback.go
@@ -145,24 +145,39 @@
 // reserve reserves for a request at the sidecar of a target. It reports false only if the
 // sidecar denies it.
 func (s *roomSearch) reserve(ctx context.Context, t *registry.Target, maxPrefill, maxKVTokens int) bool {
+	granted, _ := s.g.reserveAt(ctx, s.req, t, &sidecar.Reservation{
+		PromptTokens: s.work.PromptTokens, KVTokens: s.work.KVTokens, MaxPrefillTokens: maxPrefill, MaxKVTokens: maxKVTokens,
+	})
+	return granted
+}
+
+// reserveAt reserves for a request at the sidecar of a target, which also grants the request
+// if the target is cold. It reports false if the sidecar denies it, or if the target may be
+// cold and the sidecar does not answer. The report is nil if the sidecar sent none.
+func (g *Gateway) reserveAt(ctx context.Context, req *request, t *registry.Target, in *sidecar.Reservation) (granted bool, report *sidecar.Report) {
 	if t.Load.Report(time.Now(), maxLoadReportAge) == nil {
-		return true
+		return true, nil
 	}
-	addr, err := sidecarAddr(t.Addr, s.g.opts.SidecarPort)
+	addr, err := sidecarAddr(t.Addr, g.opts.SidecarPort)
 	if err != nil {
-		return true
+		return true, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	if req.service.ColdPerSecond != 0 && t.Load.IsSidecarSilent(time.Now()) {
+		return g.allowWithoutSidecar(ctx, req, t), nil
+	}
+	in.RequestID, in.ColdLimit = req.ID, g.coldReservationLimit(req.service)
+	askedAt := time.Now()
+	reserveCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
-	result, err := s.g.opts.SidecarWatcher.Reserve(ctx, addr, &sidecar.Reservation{
-		RequestID: s.req.ID, PromptTokens: s.work.PromptTokens, KVTokens: s.work.KVTokens, MaxPrefillTokens: maxPrefill, MaxKVTokens: maxKVTokens,
-	})
+	result, err := g.opts.SidecarWatcher.Reserve(reserveCtx, addr, in)
 	if err != nil {
-		telemetry.Info(s.g.opts.Logger, "reservation failed", "request", s.req.ID, "target", t.ID, "err", err)
-		return true
+		telemetry.Info(g.opts.Logger, "reservation failed", "request", req.ID, "target", t.ID, "err", err)
+		g.noteSilentSidecar(ctx, req, t)
+		return g.allowWithoutSidecar(ctx, req, t), nil
 	}
+	g.applyColdResult(req, t, &result, askedAt)
 	if result.Report != nil && !result.Granted {
 		t.Load.RaiseBacklog(result.Report.PrefillTokens)
 	}
-	return result.Granted
+	return result.Granted, result.Report
 }
--- a/sidecar/reserve.go
+++ b/sidecar/reserve.go
@@ -32,6 +32,11 @@
 	// Late is set for work that can only be late or exceeds the share of its workspace. It
 	// gives way to work whose reservation was denied.
 	Late bool `json:"late,omitempty"`
+	// ColdLimit is the number of requests that the sidecar grants in a second while the
+	// engine may be cold, nil for no limit.
+	ColdLimit *int `json:"cold_limit,omitempty"`
+	// ColdOnly asks only for a grant within ColdLimit and reserves nothing.
+	ColdOnly bool `json:"cold_only,omitempty"`
 }
 
 // ReservationResult is the response to a Reservation. Report is the engine's load, nil if
@@ -39,6 +44,13 @@
 type ReservationResult struct {
 	Granted bool    `json:"granted"`
 	Report  *Report `json:"report,omitempty"`
+	// ColdMillis is how long the engine stays cold, in milliseconds; nil if unknown.
+	ColdMillis *int64 `json:"cold_ms,omitempty"`
+	// ColdGranted is set if the request is granted and counted within ColdLimit. Sidecars
+	// of earlier builds ignore the limit and do not set it.
+	ColdGranted bool `json:"cold_granted,omitempty"`
+	// ColdDenied is set if the reservation is denied because of ColdLimit.
+	ColdDenied bool `json:"cold_denied,omitempty"`
 }
 
 // Limits of the messages about reservations.
@@ -73,24 +85,40 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	// Encode fails only if the client has disconnected.
-	_ = json.NewEncoder(w).Encode(s.reserve(&in))
+	_ = json.NewEncoder(w).Encode(s.reserveAwaiting(r.Context(), &in))
 }
 
 // reserve grants a reservation if the engine is reachable, does not leave, and is within the
-// limits of the reservation.
+// limits of the reservation. A grant within ColdLimit alone does not need a reachable engine.
 func (s *Sidecar) reserve(in *Reservation) ReservationResult {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.latest.Report == nil {
-		return ReservationResult{}
+	now := time.Now()
+	result := ReservationResult{ColdMillis: s.cold.remainingMillis(now, s.maxStatementAge())}
+	hasReport := s.latest.Report != nil
+	if !hasReport && !in.ColdOnly {
+		return result
+	}
+	result.ColdDenied = !s.allowsCold(now, in.ColdLimit)
+	result.Granted = !result.ColdDenied && (in.ColdOnly || !s.latest.Report.Draining &&
+		s.reservations.TryReserve(now, &decision.ReservationRequest{
+			ID: in.RequestID, PromptTokens: in.PromptTokens, KVTokens: in.KVTokens,
+			MaxPrefillTokens: in.MaxPrefillTokens, MaxKVTokens: in.MaxKVTokens, Late: in.Late,
+		}))
+	if result.Granted {
+		// Grants of a warm engine count too: it may turn cold within the span.
+		s.cold.grants.Record(now)
+		result.ColdGranted = in.ColdLimit != nil
+	}
+	if !hasReport {
+		return result
 	}
 	report := *s.latest.Report
-	granted := !report.Draining && s.reservations.TryReserve(time.Now(), &decision.ReservationRequest{
-		ID: in.RequestID, PromptTokens: in.PromptTokens, KVTokens: in.KVTokens, MaxPrefillTokens: in.MaxPrefillTokens, MaxKVTokens: in.MaxKVTokens, Late: in.Late,
-	})
 	report.PrefillTokens = s.reservations.PrefillTokens()
 	report.Requests = nil
-	return ReservationResult{Granted: granted, Report: &report}
+	report.ColdMillis = result.ColdMillis
+	result.Report = &report
+	return result
 }
 
 // Reserve reserves at the sidecar at addr.
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -20,6 +20,29 @@
 	report    Report
 	err       error
 	slowdowns []float64
+	cold      time.Duration
+	coldErr   error
+	coldAsked int
+}
+
+func (e *fakeEngine) setCold(d time.Duration, err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cold, e.coldErr = d, err
+}
+
+func (e *fakeEngine) Cold(context.Context, string) (time.Duration, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.coldAsked++
+	return e.cold, e.coldErr
+}
+
+// timesAsked returns how often the engine was asked how long it stays cold.
+func (e *fakeEngine) timesAsked() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.coldAsked
 }
 
 func (e *fakeEngine) set(r Report, err error) {
