--- a/cmd/quetzalglade-gateway/main.go
+++ b/cmd/quetzalglade-gateway/main.go
@@ -49,6 +49,7 @@
 	if opts.LinkMbps == 0 {
 		opts.LinkMbps = platform.LinkMbps()
 	}
+	opts.AdmissionControl = platform.AdmissionControl()
 	var overValid, slackValid bool
 	opts.ColdOver, overValid = platform.ColdOver()
 	opts.ColdSlack, slackValid = platform.ColdSlack()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,6 +60,9 @@
 	// SidecarPort of the targets' VMs; nil if there are no sidecars.
 	SidecarWatcher SidecarWatcher
 	SidecarPort    int
+	// AdmissionControl makes streams at engines wait, start late or be refused by what they
+	// can still be of use for. Without it, only less urgent streams wait.
+	AdmissionControl bool
 	// Migrator migrates requests between engines; nil disables migration.
 	Migrator Migrator
 	// PeerClient is the HTTP client for the feeds of other gateways, which pass
@@ -130,6 +133,7 @@
 	bodies          *bodybudget.Budget
 	holdQueues      holdQueues
 	evacuations     *evacuations
+	waitQueues      waitQueues
 	// unknownRegions counts regions in configurations that no data centre has.
 	unknownRegions atomic.Int64
 }
@@ -151,6 +155,7 @@
 		streamReadAhead: cmp.Or(opts.StreamReadAheadBytes, defaultStreamReadAhead),
 		bodies:          bodybudget.New(bodyMemoryBytes(opts.MemoryMB)),
 	}
+	gatewayMetrics.Gauge("streams_waiting", "Streams that wait for a target with room.", g.waitQueues.waiting.Load)
 	gatewayMetrics.Gauge("body_bytes", "Bytes that are held or reserved for the bodies of requests.", g.bodies.Used)
 	gatewayMetrics.Gauge("bodies_dropped", "Bodies that were let go after they had been sent, for the memory.", g.bodies.Dropped)
 	gatewayMetrics.Gauge("read_ahead_bytes", "Bytes of events that were read from targets while their clients read slowly.", g.readAhead.Used)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -43,6 +43,15 @@
 	// ranAt holds the addresses of the targets that may have run a resumable stream. The map
 	// is replaced, never changed, since migrations read it beside the request's goroutine.
 	ranAt atomic.Pointer[map[string]bool]
+	// overShare is set if the request exceeds the usual share of its workspace. notPlaced is
+	// the error of a stream that was given up under overload or whose wait for room ended with
+	// the stop of the gateway.
+	overShare bool
+	// reservedAt is when an engine's sidecar granted a reservation, expectedPrefill the
+	// expected time from then to the first event; 0 if unknown.
+	reservedAt      time.Time
+	expectedPrefill time.Duration
+	notPlaced       *result.Error
 	// coldGrant is the last grant for a cold target. coldDeniedAt is when a cold target
 	// first denied the request.
 	coldGrant    coldGrant
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -156,6 +156,8 @@
 		return nil
 	}
 	if segResult == segmentBroken {
+		// The first event of a later segment does not measure the reserved target.
+		s.req.expectedPrefill = 0
 		// The target may have used the copy, or may still run the request.
 		s.freeKept()
 		s.recordRun(seg)
@@ -219,6 +221,10 @@
 		s.g.respondError(s.w, s.req, stoppingError())
 		return
 	}
+	if s.req.notPlaced != nil {
+		s.g.respondError(s.w, s.req, s.req.notPlaced)
+		return
+	}
 	s.g.respondError(s.w, s.req, s.g.unavailableError(s.req, result.New(result.NoTarget, result.RanNo, "no target takes this").RetryAfter(noTargetRetryAfter)))
 }
 
@@ -361,6 +367,7 @@
 			return
 		}
 		seg.firstEventAt = now
+		s.g.waitQueues.observeFirstEvent(s.req, now)
 		s.g.parts.Unwatch(seg.waiting)
 	}
 	if !seg.recordedSound && (complete || now.Sub(seg.firstEventAt) >= soundRunTime) {
--- a/sidecar/reserve.go
+++ b/sidecar/reserve.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/quetzalglade/quetzalglade/decision"
 	"github.com/quetzalglade/quetzalglade/internal/httpclient"
 )
 
@@ -28,6 +29,9 @@
 	// granted, MaxKVTokens the largest use of the KV cache with the request.
 	MaxPrefillTokens int `json:"max_backlog"`
 	MaxKVTokens      int `json:"max_memory"`
+	// Late is set for work that can only be late or exceeds the share of its workspace. It
+	// gives way to work whose reservation was denied.
+	Late bool `json:"late,omitempty"`
 	// ColdLimit is the number of requests that the sidecar grants in a second while the
 	// engine may be cold, nil for no limit.
 	ColdLimit *int `json:"cold_limit,omitempty"`
@@ -97,7 +101,10 @@
 	}
 	result.ColdDenied = !s.allowsCold(now, in.ColdLimit)
 	result.Granted = !result.ColdDenied && (in.ColdOnly || !s.latest.Report.Draining &&
-		s.reservations.TryReserve(now, in.RequestID, in.PromptTokens, in.KVTokens, in.MaxPrefillTokens, in.MaxKVTokens))
+		s.reservations.TryReserve(now, &decision.ReservationRequest{
+			ID: in.RequestID, PromptTokens: in.PromptTokens, KVTokens: in.KVTokens,
+			MaxPrefillTokens: in.MaxPrefillTokens, MaxKVTokens: in.MaxKVTokens, Late: in.Late,
+		}))
 	if result.Granted {
 		// Grants of a warm engine count too: it may turn cold within the span.
 		s.cold.grants.Record(now)
