--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -112,14 +112,15 @@
 // KV cache, and the load of each. In the load, the capacity is reduced to the
 // fraction fill of the target's KV cache. Targets in other regions are left out:
 // the link between regions is so slow that a copy does not complete in time and
-// delays the copies queued behind it.
+// delays the copies queued behind it. An address at which a resumable stream may have run is
+// left out too: a failover to the copy would run the same request there again.
 func (g *Gateway) copyCandidates(req *request, primary *registry.Target, fill float64) ([]*registry.Target, []decision.CopyTarget) {
 	now := time.Now()
 	eligible := g.eligibility(req)
 	var targets []*registry.Target
 	var candidates []decision.CopyTarget
 	for _, t := range g.targets.Snapshot().Ready(req.service.Name) {
-		if t.ID == primary.ID || !acceptsWork(t, now) || !eligible.allows(t) {
+		if t.ID == primary.ID || req.mayHaveRunAt(t.Addr) || !acceptsWork(t, now) || !eligible.allows(t) {
 			continue
 		}
 		c := decision.CopyTarget{PlacementTarget: g.placementCandidate(req, t, now)}
@@ -265,9 +266,9 @@
 // response. It returns an attempt even if it fails; the caller must release it.
 func (g *Gateway) startAttempt(ctx context.Context, req *request, t *registry.Target, a AttemptMeta) (*attempt, error) {
 	at := &attempt{target: t}
-	conn, err := g.connect(ctx, req, t)
+	conn, err := g.connectGranted(ctx, req, t)
 	if err != nil {
-		return at, errors.Wrap(err, "connect")
+		return at, err
 	}
 	at.conn = conn
 	at.stopCloseOnDone = conn.CloseOnDone(ctx)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,6 +63,9 @@
 	// SidecarPort of the targets' VMs; nil if there are no sidecars.
 	SidecarWatcher SidecarWatcher
 	SidecarPort    int
+	// AdmissionControl makes streams at engines wait, start late or be refused by what they
+	// can still be of use for. Without it, only less urgent streams wait.
+	AdmissionControl bool
 	// Migrator migrates requests between engines; nil disables migration.
 	Migrator Migrator
 	// PeerClient is the HTTP client for the feeds of other gateways, which pass
@@ -74,10 +77,22 @@
 	RetryRatio   float64
 	RetryReserve float64
 	RetryWindow  time.Duration
+	// ColdOver and ColdSlack bound the requests that a cold target gets in a second from
+	// all gateways: its rate times ColdOver plus ColdSlack. ColdSettingsIgnored is set if
+	// a value that was set for one of them is out of range.
+	ColdOver            float64
+	ColdSlack           float64
+	ColdSettingsIgnored bool
+	// ColdProber asks engines whose sidecars do not answer; nil if they cannot be asked.
+	ColdProber ColdProber
 	// BalancerGrace is the time after a stop signal in which requests are still
 	// accepted, DrainLimit the maximum duration of the whole stop.
 	BalancerGrace time.Duration
 	DrainLimit    time.Duration
+	// StreamReadAheadBytes limits what is read from the target of one stream while its client
+	// reads slowly, ReadAheadBytes that of all streams together; 0 stands for a default.
+	StreamReadAheadBytes int64
+	ReadAheadBytes       int64
 }
 
 // Limits on connections to targets.
@@ -114,10 +129,15 @@
 	slowdowns      slowdowns
 	retryBudgets   retryBudgets
 	responseBuffer *bufferlimit.Limit
-	bodies         *bodybudget.Budget
-	guard          *connguard.Guard
-	holdQueues     holdQueues
-	evacuations    *evacuations
+	// readAhead limits the events of all streams that are read ahead, streamReadAhead those of
+	// one stream.
+	readAhead       *bufferlimit.Limit
+	streamReadAhead int64
+	bodies          *bodybudget.Budget
+	guard           *connguard.Guard
+	holdQueues      holdQueues
+	evacuations     *evacuations
+	waitQueues      waitQueues
 	// unknownRegions counts regions in configurations that no data centre has.
 	unknownRegions atomic.Int64
 }
@@ -129,17 +149,21 @@
 		return nil, err
 	}
 	g := &Gateway{
-		opts:           opts,
-		connPool:       httpwire.NewPool(httpwire.PoolOptions{DialTimeout: dialTimeout, UserTimeout: unacknowledgedTimeout, MaxIdle: maxIdleConns}),
-		placementCosts: decision.DefaultPlacementCosts(),
-		metrics:        gatewayMetrics,
-		stopPhase:      newStopPhase(),
-		responseBuffer: bufferlimit.New(maxBufferedBytes, freeBufferBytes),
-		bodies:         bodybudget.New(bodyMemoryBytes(opts.MemoryMB)),
-		guard:          connguard.New(connguard.OptionsFor(cmp.Or(opts.MemoryMB, defaultMemoryMB), settings.BodyRate(), opts.Logger)),
+		opts:            opts,
+		connPool:        httpwire.NewPool(httpwire.PoolOptions{DialTimeout: dialTimeout, UserTimeout: unacknowledgedTimeout, MaxIdle: maxIdleConns}),
+		placementCosts:  decision.DefaultPlacementCosts(),
+		metrics:         gatewayMetrics,
+		stopPhase:       newStopPhase(),
+		responseBuffer:  bufferlimit.New(maxBufferedBytes, freeBufferBytes),
+		readAhead:       bufferlimit.New(cmp.Or(opts.ReadAheadBytes, defaultReadAhead), 0),
+		streamReadAhead: cmp.Or(opts.StreamReadAheadBytes, defaultStreamReadAhead),
+		bodies:          bodybudget.New(bodyMemoryBytes(opts.MemoryMB)),
+		guard:           connguard.New(connguard.OptionsFor(cmp.Or(opts.MemoryMB, defaultMemoryMB), settings.BodyRate(), opts.Logger)),
 	}
+	gatewayMetrics.Gauge("streams_waiting", "Streams that wait for a target with room.", g.waitQueues.waiting.Load)
 	gatewayMetrics.Gauge("body_bytes", "Bytes that are held or reserved for the bodies of requests.", g.bodies.Used)
 	gatewayMetrics.Gauge("bodies_dropped", "Bodies that were let go after they had been sent, for the memory.", g.bodies.Dropped)
+	gatewayMetrics.Gauge("read_ahead_bytes", "Bytes of events that were read from targets while their clients read slowly.", g.readAhead.Used)
 	gatewayMetrics.Gauge("bodies_refused", "Bodies that got no memory.", g.bodies.Refused)
 	g.guard.RegisterGauges(gatewayMetrics.Gauge)
 	g.targets = registry.NewKeeper(g.decodeTarget, opts.Logger)
@@ -191,6 +215,10 @@
 
 // Serve runs the gateway until ctx ends, then stops gracefully.
 func (g *Gateway) Serve(ctx context.Context) error {
+	if g.opts.ColdSettingsIgnored {
+		g.metrics.recordIgnored("cold settings")
+		telemetry.Warn(g.opts.Logger, "invalid cold settings ignored", "cold_over", g.opts.ColdOver, "cold_slack", g.opts.ColdSlack)
+	}
 	telemetry.Info(g.opts.Logger, "start", "front", g.opts.ClientListener.Addr().String(), "datacentre", g.opts.Datacentre)
 	controlCtx, cancelControl := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancelControl()
@@ -372,6 +400,10 @@
 	if current := g.table.Load(); current != nil && current.Version >= table.Version {
 		return true
 	}
+	if services := table.InheritCold(g.table.Load()); len(services) > 0 {
+		g.metrics.recordIgnored("cold configuration")
+		telemetry.Warn(g.opts.Logger, "invalid cold values of services ignored", "services", services, "config_version", table.Version)
+	}
 	source, stateAge := g.feedSource.Current()
 	telemetry.Info(g.opts.Logger, "configuration in force", "config_version", table.Version, "before", g.configVersion(), "revision", kv.ModRevision,
 		"source", source, "state_age_ms", stateAge.Milliseconds(), "bytes", len(kv.Value))
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/quetzalglade/quetzalglade/internal/bodybudget"
@@ -41,6 +43,37 @@
 	triedTargets map[string]bool
 	// sentTo holds the addresses of the targets that may have received the request.
 	sentTo map[string]bool
+	// ranAt holds the addresses of the targets that may have run a resumable stream. The map
+	// is replaced, never changed, since migrations read it beside the request's goroutine.
+	ranAt atomic.Pointer[map[string]bool]
+	// overShare is set if the request exceeds the usual share of its workspace. notPlaced is
+	// the error of a stream that was given up under overload or whose wait for room ended with
+	// the stop of the gateway.
+	overShare bool
+	// reservedAt is when an engine's sidecar granted a reservation, expectedPrefill the
+	// expected time from then to the first event; 0 if unknown.
+	reservedAt      time.Time
+	expectedPrefill time.Duration
+	notPlaced       *result.Error
+	// coldGrant is the last grant for a cold target. coldDeniedAt is when a cold target
+	// first denied the request.
+	coldGrant    coldGrant
+	coldDeniedAt time.Time
+}
+
+// mayHaveRunAt reports whether a resumable stream may have run at an address.
+func (r *request) mayHaveRunAt(addr string) bool {
+	ranAt := r.ranAt.Load()
+	return ranAt != nil && (*ranAt)[addr]
+}
+
+// recordRunAt records that a resumable stream may have run at an address.
+func (r *request) recordRunAt(addr string) {
+	ranAt := map[string]bool{addr: true}
+	if before := r.ranAt.Load(); before != nil {
+		maps.Copy(ranAt, *before)
+	}
+	r.ranAt.Store(&ranAt)
 }
 
 func (r *request) remaining(now time.Time) time.Duration { return r.deadline.Sub(now) }
--- a/internal/platformtest/worker.go
+++ b/internal/platformtest/worker.go
@@ -39,6 +39,14 @@
 	// RepeatsEvent starts the continuation of a stream with the last event that
 	// the client has received.
 	RepeatsEvent bool
+	// SkipsEvents is the number of events that a stream omits at its start.
+	SkipsEvents int
+	// EventBytes is the size of the text of each event, 0 for a short one. A stream whose
+	// response is unread for MaxUnread, if not 0, is aborted.
+	EventBytes int
+	MaxUnread  time.Duration
+	// OmitIDs sends the events of a stream without IDs.
+	OmitIDs bool
 	// DuplicateResponse sends the response twice.
 	DuplicateResponse bool
 	// MismatchedResponse sends a response to another request before the right one.
@@ -124,6 +132,39 @@
 	// empty.
 	crashPart string
 	workers   *WorkerSet
+	// coldText is the value of the header X-Cold-Ms if coldUntil is not set, without the
+	// header if empty. coldUntil is when the worker is warm.
+	coldText  string
+	coldUntil time.Time
+}
+
+// SetCold makes the worker state in the responses of its health endpoint that it stays
+// cold for the given time. It does not change its entry.
+func (w *Worker) SetCold(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.coldUntil = time.Now().Add(d)
+}
+
+// SetColdText sets the value of the header X-Cold-Ms in the responses of the health endpoint.
+func (w *Worker) SetColdText(text string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.coldText, w.coldUntil = text, time.Time{}
+}
+
+// health serves the health endpoint.
+func (w *Worker) health(rw http.ResponseWriter) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	rw.Header().Set("X-Server-Load", "0,0,4,100")
+	switch {
+	case !w.coldUntil.IsZero():
+		rw.Header().Set("X-Cold-Ms", strconv.FormatInt(max(time.Until(w.coldUntil), 0).Milliseconds(), 10))
+	case w.coldText != "":
+		rw.Header().Set("X-Cold-Ms", w.coldText)
+	}
+	rw.WriteHeader(http.StatusOK)
 }
 
 // streamRun is the generation of a stream by one worker.
@@ -204,6 +245,9 @@
 	w.server.Close()
 }
 
+// CloseConnections closes the worker's connections, as at the end of its idle timeout.
+func (w *Worker) CloseConnections() { w.server.CloseClientConnections() }
+
 // StoreEntry returns the value of the worker's entry in the store.
 func (w *Worker) StoreEntry(service, zone, state string) []byte {
 	return w.StoreEntryOf(service, zone, state, 1)
@@ -212,9 +256,18 @@
 // StoreEntryOf is like StoreEntry for the incarnation with the given start time, in Unix
 // milliseconds.
 func (w *Worker) StoreEntryOf(service, zone, state string, startMillis int64) []byte {
+	return w.storeEntry(service, zone, state, startMillis, 0)
+}
+
+// ColdStoreEntry is like StoreEntry for a ready worker that stays cold for the given time.
+func (w *Worker) ColdStoreEntry(service, zone string, cold time.Duration) []byte {
+	return w.storeEntry(service, zone, "ready", 1, cold)
+}
+
+func (w *Worker) storeEntry(service, zone, state string, startMillis int64, cold time.Duration) []byte {
 	data, err := json.Marshal(map[string]any{
 		"service": service, "address": w.Addr(), "zone": zone, "version": "v1", "slots": 4, "state": state,
-		"cold_remaining_ms": 0, "seq_no": 1, "born": startMillis,
+		"cold_remaining_ms": cold.Milliseconds(), "seq_no": 1, "born": startMillis,
 	})
 	if err != nil {
 		panic(err)
@@ -444,6 +497,10 @@
 }
 
 func (w *Worker) serve(rw http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/healthz" {
+		w.health(rw)
+		return
+	}
 	if r.URL.Path == "/v1/kv-move" {
 		w.migrate(rw, r)
 		return
@@ -495,6 +552,7 @@
 	if f.RepeatsEvent && from > 0 {
 		from--
 	}
+	from += f.SkipsEvents
 	id := r.Header.Get("X-Request-Id")
 	body := readAll(r)
 	if f.Endless != "" {
@@ -538,19 +596,20 @@
 	}
 }
 
-// startEvent returns the number of the first event to generate, and false if the
+// startEvent returns the number of the first event to generate: the one after the event that
+// the request names, if any. It returns false if the
 // request is a continuation and the worker does not hold the copy of its KV cache.
 // It deletes the copy, which serves only one continuation.
 func (w *Worker) startEvent(r *http.Request) (int, bool) {
-	kvSource := r.Header.Get("Kv-From")
-	if kvSource == "" {
-		return 0, true
-	}
-	_, handle, _ := strings.Cut(kvSource, "/")
 	last, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	if err != nil {
 		last = -1
 	}
+	kvSource := r.Header.Get("Kv-From")
+	if kvSource == "" {
+		return last + 1, true
+	}
+	_, handle, _ := strings.Cut(kvSource, "/")
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	hasCopy := w.kvCopies[handle]
@@ -566,12 +625,16 @@
 		backup.kvCopies[r.Header.Get("X-Request-Id")] = true
 		backup.mu.Unlock()
 	}
+	if f.StatusOnly > 0 {
+		rw.WriteHeader(f.StatusOnly)
+		return
+	}
 	if f.OmitLength {
 		w.serveUndelimitedStream(rw, r, f)
 		return
 	}
 	id := r.Header.Get("X-Request-Id")
-	if r.Header.Get("Kv-From") != "" {
+	if r.Header.Get("Kv-From") != "" || r.Header.Get("Last-Event-Id") != "" {
 		w.workers.recordContinuation(w, id)
 	}
 	run, end := w.beginStream(id)
@@ -598,7 +661,13 @@
 			w.dropCopies(id)
 			interval = w.LastEventGap
 		}
-		_, _ = fmt.Fprintf(rw, "id: %d\ndata: token %d\n\n", i, i)
+		if !f.OmitIDs {
+			_, _ = fmt.Fprintf(rw, "id: %d\n", i)
+		}
+		if f.MaxUnread > 0 {
+			_ = controller.SetWriteDeadline(time.Now().Add(f.MaxUnread))
+		}
+		_, _ = fmt.Fprintf(rw, "data: token %d%s\n\n", i, strings.Repeat(".", f.EventBytes))
 		if interval > 0 {
 			_ = controller.Flush()
 		}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -28,6 +28,8 @@
 	// Slowdown returns the factor by which the engine's work currently takes
 	// longer than at the reference speed.
 	Slowdown(ctx context.Context, addr string) (float64, error)
+	// Cold returns how long the engine stays cold. A value out of range is ErrOddCold.
+	Cold(ctx context.Context, addr string) (time.Duration, error)
 }
 
 // Options configures a Sidecar.
@@ -59,6 +61,12 @@
 	latest Line
 	// reservations is the account of the work that gateways send to the engine.
 	reservations decision.Reservations
+	cold         coldEngine
+	// coldDemand wakes the coldPoller.
+	coldDemand chan struct{}
+	// coldAnswered is closed and replaced when the engine has answered the coldPoller, or
+	// has failed to.
+	coldAnswered chan struct{}
 	// changed is closed and replaced when watchers must be notified at once.
 	changed chan struct{}
 
@@ -90,7 +98,10 @@
 
 // New returns a sidecar that is not yet serving.
 func New(opts Options) *Sidecar {
-	return &Sidecar{opts: opts, latest: Line{EngineUnreachable: true}, changed: make(chan struct{})}
+	return &Sidecar{
+		opts: opts, latest: Line{EngineUnreachable: true}, changed: make(chan struct{}),
+		cold: coldEngine{grants: decision.NewRateWindow(time.Now())}, coldDemand: make(chan struct{}, 1), coldAnswered: make(chan struct{}),
+	}
 }
 
 // bodyFactor is the memory that a request takes for each byte of its body.
@@ -112,6 +123,7 @@
 	server.SetGuard(s.opts.Guard, bodyFactor)
 	supervisor.Add(server)
 	supervisor.Add(&poller{s: s})
+	supervisor.Add(&coldPoller{s: s})
 	err := supervisor.Serve(ctx)
 	telemetry.Info(s.opts.Logger, "stop")
 	if ctx.Err() != nil {
@@ -166,6 +178,8 @@
 	}
 	if line.Report != nil {
 		s.observe(line.Report, time.Now())
+		s.cold.setIncarnation(line.Report.StartMillis)
+		line.Report.ColdMillis = s.cold.remainingMillis(time.Now(), s.maxStatementAge())
 	}
 	s.latest = line
 	stateChanged := engineChanged(&previous, &line)
