connguard: quiet requests in progress are shed last; no wait in accepts

A stream was not counted as running after its first event, and progress was taken over the whole life of a connection: of 200 idle connections, 100 quiet streams and 8 stalled bodies of one address, 34 streams and no stalled body were shed. Feed watches went first. Accepts waited up to 100 ms each while shed requests ended. A message whose counted size exceeds the account could never be served. A pause of 15 s ended an upload.

Change: a request counts as running until its end, except while a write of its response blocks; the rate of a silent connection falls with the time since it moved; the wait happens once per request and not in accepts; one request counts with at most half of the limit; the least rate is a mean since the begin of the body, after 30 s; internal listeners count no second descriptor.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -219,7 +219,7 @@
 		supervisor.Add(a.quarantine)
 	}
 	server := httpserve.New("agent peers", a.opts.Listener, a.handler(), a.opts.DrainLimit)
-	server.SetGuard(a.opts.Guard, messageFactor)
+	server.SetGuard(a.opts.Guard, messageFactor, true)
 	supervisor.Add(server)
 	supervisorCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
--- a/decision/shedclients.go
+++ b/decision/shedclients.go
@@ -15,16 +15,26 @@
 	// Moved is the number of bytes that the client has sent or read in the last Age.
 	Moved int64
 	Age   time.Duration
-	// Running is set while the process waits for another one on behalf of the connection, so
-	// that the client can make no progress.
+	// Idle is the time since the client last sent or read anything.
+	Idle time.Duration
+	// Running is set while the process works on a complete request of the connection and the
+	// client reads what is sent, so that the client owes no progress.
 	Running bool
 }
 
-// progress returns the bytes moved per second and per byte held.
+// progress returns the bytes moved per second and per byte held. Of a connection on which
+// nothing moves, the rate falls with the time since then: a body that arrived fast and then
+// stalled must not count as fast for as long as it is held.
 func (c *ClientConn) progress() float64 {
-	return float64(c.Moved) / (max(c.Age.Seconds(), minShedAge) * float64(max(c.Held, 1)))
+	rate := float64(c.Moved) / max(c.Age.Seconds(), minShedAge)
+	recent := recentBytes / max(c.Idle.Seconds(), minShedAge)
+	return min(rate, recent) / float64(max(c.Held, 1))
 }
 
+// recentBytes is the size of one read, which may have arrived just before a connection fell
+// silent.
+const recentBytes = 4096
+
 // minShedAge is the age in seconds below which a connection's progress is not extrapolated.
 const minShedAge = 0.05
 
--- a/decision/shedclients_test.go
+++ b/decision/shedclients_test.go
@@ -28,6 +28,22 @@
 			So(ShedClients(conns, 10<<20, 0, 2), ShouldResemble, []int{3, 2})
 		})
 	})
+	Convey("Bodies that arrived fast and then stalled go before quiet streams, feed watches and idle connections of the same client", t, func() {
+		var conns []ClientConn
+		for range 8 {
+			conns = append(conns, ClientConn{Client: "proxy", Held: 4 << 20, Moved: 4<<20 - 1, Age: 10 * time.Second, Idle: 10 * time.Second})
+		}
+		for range 100 {
+			conns = append(conns, ClientConn{Client: "proxy", Held: 80 << 10, Moved: 4 << 10, Age: 20 * time.Second, Idle: 5 * time.Second, Running: true})
+		}
+		conns = append(conns, ClientConn{Client: "proxy", Held: 80 << 10, Moved: 64 << 10, Age: 3 * time.Hour, Idle: time.Minute, Running: true})
+		for range 200 {
+			conns = append(conns, ClientConn{Client: "proxy", Held: 12 << 10, Moved: 20 << 10, Age: time.Minute, Idle: 12 * time.Second})
+		}
+		for _, limit := range []int64{0, 42 << 20} {
+			So(ShedClients(conns, limit, 32<<20, 0), ShouldResemble, []int{0, 1, 2, 3, 4, 5, 6, 7})
+		}
+	})
 	Convey("Of connections that are alike the oldest goes first", t, func() {
 		conns := []ClientConn{{Client: "a", Held: 1, Age: time.Second}, {Client: "a", Held: 1, Age: time.Minute}}
 		So(ShedClients(conns, 1, 1, 0), ShouldResemble, []int{1})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -231,7 +231,7 @@
 	coreSupervisor.Add(e.quarantine)
 	httpSupervisor := suture.New("entry callers", suture.Spec{EventHook: e.logEvent, Timeout: e.opts.DrainLimit})
 	server := httpserve.New("entry callers", e.opts.Listener, e.handler(), e.opts.DrainLimit)
-	server.SetGuard(e.opts.Guard, bodyFactor)
+	server.SetGuard(e.opts.Guard, bodyFactor, true)
 	httpSupervisor.Add(server)
 	detached := context.WithoutCancel(ctx)
 	coreCtx, stopCore := context.WithCancel(detached)
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -33,7 +33,7 @@
 // internalServer returns a server for the load balancer or other gateways.
 func (g *Gateway) internalServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: connguard.Handler(handler, 1), ReadHeaderTimeout: internalHeaderTimeout, IdleTimeout: internalIdleTimeout, MaxHeaderBytes: internalHeaderBytes,
+		Handler: connguard.Handler(handler, 1, false), ReadHeaderTimeout: internalHeaderTimeout, IdleTimeout: internalIdleTimeout, MaxHeaderBytes: internalHeaderBytes,
 		ConnState: connguard.SetState, ConnContext: connguard.Context,
 	}
 }
@@ -136,7 +136,7 @@
 	}
 	h := &handoffListener{addr: addr, conns: make(chan net.Conn), done: make(chan struct{})}
 	s := &http.Server{
-		Handler: connguard.Handler(f.g, 0), ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout, MaxHeaderBytes: limits.MaxHeaderBytes,
+		Handler: connguard.Handler(f.g, 0, true), ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout, MaxHeaderBytes: limits.MaxHeaderBytes,
 		ConnState: f.conns.SetState, ConnContext: connguard.Context,
 	}
 	f.limits, f.listener = limits, h
--- a/internal/connguard/guard.go
+++ b/internal/connguard/guard.go
@@ -127,6 +127,8 @@
 	client   string
 	openedAt time.Time
 	moved    atomic.Int64
+	// movedAt is when bytes last moved, in nanoseconds since openedAt.
+	movedAt atomic.Int64
 
 	// mu guards what follows. held is what the account holds for the connection.
 	mu             sync.Mutex
@@ -134,9 +136,12 @@
 	active, closed bool
 	// running is set while the client can make no progress, paired while the request may use
 	// a connection to another process.
-	running, paired bool
+	// complete is set from the end of a request's body to the end of the request.
+	running, complete, paired bool
 	// closing is the connection's part of Guard.closing.
 	closing int64
+	// waited is set once the request has waited for the memory of closed connections.
+	waited bool
 	// cancel ends the request in progress, nil if there is none.
 	cancel context.CancelFunc
 	rate   bodyRate
@@ -158,6 +163,23 @@
 	return conn
 }
 
+// countMoved counts bytes that the client has sent or read.
+func (c *Conn) countMoved(n int) {
+	if n > 0 {
+		c.moved.Add(int64(n))
+		c.movedAt.Store(int64(time.Since(c.openedAt)))
+	}
+}
+
+// CloseWrite closes the write side of the connection, as net/http does after an early
+// response.
+func (c *Conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
 // Of returns the connection of an account that a server's connection uses, nil if none.
 func Of(c net.Conn) *Conn {
 	for {
@@ -191,7 +213,6 @@
 func (c *Conn) Hold(bytes int64) {
 	if c.HoldQuietly(bytes); c != nil && bytes > 0 {
 		c.g.enforce()
-		c.awaitClosing()
 	}
 }
 
@@ -204,8 +225,15 @@
 	closingPeriod = 2 * time.Millisecond
 )
 
-// awaitClosing waits while the requests of closed connections hold much.
+// awaitClosing waits while the requests of closed connections hold much, once for each request.
 func (c *Conn) awaitClosing() {
+	c.mu.Lock()
+	waited := c.waited
+	c.waited = true
+	c.mu.Unlock()
+	if waited {
+		return
+	}
 	for end := time.Now().Add(closingWait); c.g.closing.Load() > int64(closingPart*float64(c.g.o.MaxBytes)); time.Sleep(closingPeriod) {
 		if c.g.o.MaxBytes == 0 || c.isClosed() || time.Now().After(end) {
 			return
@@ -238,26 +266,27 @@
 	c.g.held.Add(bytes)
 }
 
-// beginRunning records that the process works on the request of the connection, usually with
-// a connection to another process.
-func (c *Conn) beginRunning() {
+// beginRunning records that the process works on the complete request of the connection, with
+// a connection to another process if paired is set.
+func (c *Conn) beginRunning(paired bool) {
 	c.mu.Lock()
 	if !c.closed {
-		if !c.paired {
+		if paired && !c.paired {
 			c.add(pairedBytes)
 			c.g.paired.Add(1)
 		}
-		c.running, c.paired = true, true
+		c.running, c.complete, c.paired = true, true, c.paired || paired
 	}
 	c.mu.Unlock()
 	c.g.enforce()
 }
 
-// endRunning records that the client can make progress, by reading the response.
-func (c *Conn) endRunning() {
+// setWriting records whether a write is in progress. Meanwhile the client owes progress: one
+// that does not read its response is not counted as running.
+func (c *Conn) setWriting(writing bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.running = false
+	c.running = c.complete && !writing
 }
 
 // beginRequest records a request and returns its context, which the close of the connection
@@ -266,6 +295,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.waited = false
 	if c.cancel = cancel; c.closed {
 		cancel()
 	}
@@ -291,7 +321,7 @@
 		c.add(-pairedBytes)
 		c.g.paired.Add(-1)
 	}
-	c.running, c.paired = false, false
+	c.running, c.complete, c.paired = false, false, false
 }
 
 // setActive records whether the connection carries a request.
@@ -313,9 +343,10 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
-	c.endRunning()
+	c.setWriting(true)
 	n, err := c.Conn.Write(p)
-	c.moved.Add(int64(n))
+	c.countMoved(n)
+	c.setWriting(false)
 	return n, err
 }
 
@@ -389,7 +420,10 @@
 	for c := range g.conns {
 		conns = append(conns, c)
 		c.mu.Lock()
-		states = append(states, decision.ClientConn{Client: c.client, Held: c.held, Moved: c.moved.Load(), Age: now.Sub(c.openedAt), Running: c.running})
+		age := now.Sub(c.openedAt)
+		states = append(states, decision.ClientConn{
+			Client: c.client, Held: c.held, Moved: c.moved.Load(), Age: age, Idle: age - time.Duration(c.movedAt.Load()), Running: c.running,
+		})
 		c.mu.Unlock()
 	}
 	var victims []*Conn
--- a/internal/connguard/rate.go
+++ b/internal/connguard/rate.go
@@ -11,22 +11,25 @@
 
 // Minimum rate of bodies. Heads are limited by the time limit for them.
 const (
-	// BodyWindow is the time in which a body must make progress, the idle time that clients
-	// are allowed between requests.
+	// BodyWindow is the time between two checks of the rate, BodyGrace the time before the first
+	// one that counts. Clients wait less than BodyGrace for a connection or an answer to a
+	// short request; only generations have longer deadlines, and their bodies exceed
+	// BodyGrace times DefaultBodyRate, 480 bytes, or arrive at once.
 	BodyWindow = 15 * time.Second
-	// DefaultBodyRate is the least rate in bytes per second over BodyWindow. A request lasts a
-	// minute at most: even a body of 960 bytes that takes all of it arrives at 16 bytes per
-	// second. A body of up to BodyWindow times this rate, 240 bytes, may arrive at any rate
-	// within BodyWindow.
+	BodyGrace  = 30 * time.Second
+	// DefaultBodyRate is the least mean rate of a body in bytes per second since its begin. A
+	// request lasts a minute at most: even a body of 960 bytes that takes all of it arrives
+	// at this rate. A pause in a larger body does not count.
 	DefaultBodyRate = 16
 )
 
 // bodyRate is the progress of a body that is being read.
 type bodyRate struct {
 	reading bool
-	// end is the end of the current window, bytes what has arrived in it.
-	end   time.Time
-	bytes int64
+	// begin is when the body began, end the end of the current window, bytes what has arrived
+	// since begin.
+	begin, end time.Time
+	bytes      int64
 }
 
 func (c *Conn) beginBody() {
@@ -35,7 +38,8 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.rate = bodyRate{reading: true, end: time.Now().Add(BodyWindow)}
+	now := time.Now()
+	c.rate = bodyRate{reading: true, begin: now, end: now.Add(BodyWindow)}
 }
 
 // endBody ends the check of the rate, also for a read in progress.
@@ -75,7 +79,7 @@
 	for {
 		c.armRate()
 		n, err := c.Conn.Read(p)
-		c.moved.Add(int64(n))
+		c.countMoved(n)
 		if n > 0 {
 			c.setActive(true)
 			c.mu.Lock()
@@ -113,20 +117,26 @@
 	if now.Before(c.rate.end) {
 		return true
 	}
-	if c.rate.bytes < c.g.o.BodyRate*int64(BodyWindow/time.Second) {
+	if elapsed := now.Sub(c.rate.begin); elapsed >= BodyGrace && float64(c.rate.bytes) < float64(c.g.o.BodyRate)*elapsed.Seconds() {
 		c.g.slow.Add(1)
 		return false
 	}
-	c.rate.end, c.rate.bytes = now.Add(BodyWindow), 0
+	c.rate.end = now.Add(BodyWindow)
 	return true
 }
 
+// maxRequestParts is the number of requests of the largest size for which the account always
+// has room: one request is counted with at most this part of the limit, so that it is served
+// while nothing else is held.
+const maxRequestParts = 2
+
 // body is the body of a request, whose memory counts until the end of the request.
 type body struct {
 	io.ReadCloser
 	c *Conn
 	// factor is the memory that the request takes for each byte of its body.
 	factor int64
+	paired bool
 	held   int64
 }
 
@@ -137,18 +147,24 @@
 		b.c.endBody()
 		// Without a part of the body, nothing is done for the request.
 		if errors.Is(err, io.EOF) {
-			b.c.beginRunning()
+			b.c.beginRunning(b.paired)
 		}
 	}
-	if bytes := b.factor * int64(n); bytes > 0 {
+	bytes := b.factor * int64(n)
+	if limit := b.c.g.o.MaxBytes; limit > 0 {
+		bytes = min(bytes, max(limit/maxRequestParts-b.held, 0))
+	}
+	if bytes > 0 {
 		b.held += bytes
 		b.c.Hold(bytes)
+		b.c.awaitClosing()
 	}
 	return n, err
 }
 
 // Handler checks the rate of bodies and counts factor bytes of memory for each of their bytes.
-func Handler(next http.Handler, factor int64) http.Handler {
+// paired states that a request may use a connection to another process, which then counts.
+func Handler(next http.Handler, factor int64, paired bool) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := FromContext(r.Context())
 		if c == nil {
@@ -158,12 +174,12 @@
 		r = r.WithContext(c.beginRequest(r.Context()))
 		defer c.endRequest()
 		if r.Body == nil || r.Body == http.NoBody {
-			c.beginRunning()
+			c.beginRunning(paired)
 			next.ServeHTTP(w, r)
 			return
 		}
 		c.beginBody()
-		b := &body{ReadCloser: r.Body, c: c, factor: factor}
+		b := &body{ReadCloser: r.Body, c: c, factor: factor, paired: paired}
 		r.Body = b
 		defer func() { c.HoldQuietly(-b.held) }()
 		next.ServeHTTP(w, r)
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -59,13 +59,13 @@
 
 // SetGuard adds the connections to an account, if g is not nil, in which each byte of a body
 // counts as factor bytes. It must be called before Serve.
-func (s *Service) SetGuard(g *connguard.Guard, factor int64) {
+func (s *Service) SetGuard(g *connguard.Guard, factor int64, paired bool) {
 	if g == nil {
 		return
 	}
 	s.listener.SetGuard(g)
 	s.server.ConnContext = connguard.Context
-	s.server.Handler = connguard.Handler(s.server.Handler, factor)
+	s.server.Handler = connguard.Handler(s.server.Handler, factor, paired)
 }
 
 // Serve implements suture.Service. A closed listener cannot be reopened, so the
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -120,7 +120,7 @@
 		telemetry.Warn(s.opts.Logger, "supervisor event", "event", e.String())
 	}})
 	server := httpserve.New("watch", s.opts.Listener, mux, stopTimeout)
-	server.SetGuard(s.opts.Guard, bodyFactor)
+	server.SetGuard(s.opts.Guard, bodyFactor, false)
 	supervisor.Add(server)
 	supervisor.Add(&poller{s: s})
 	supervisor.Add(&coldPoller{s: s})
