--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,11 +17,14 @@
 	"github.com/quetzalglade/quetzalglade/feed"
 	"github.com/quetzalglade/quetzalglade/internal/bodybudget"
 	"github.com/quetzalglade/quetzalglade/internal/bufferlimit"
+	"github.com/quetzalglade/quetzalglade/internal/connguard"
+	"github.com/quetzalglade/quetzalglade/internal/httpserve"
 	"github.com/quetzalglade/quetzalglade/internal/httpwire"
 	"github.com/quetzalglade/quetzalglade/kvstore"
 	"github.com/quetzalglade/quetzalglade/quarantine"
 	"github.com/quetzalglade/quetzalglade/registry"
 	"github.com/quetzalglade/quetzalglade/routing"
+	"github.com/quetzalglade/quetzalglade/settings"
 	"github.com/quetzalglade/quetzalglade/telemetry"
 )
 
@@ -131,6 +134,7 @@
 	readAhead       *bufferlimit.Limit
 	streamReadAhead int64
 	bodies          *bodybudget.Budget
+	guard           *connguard.Guard
 	holdQueues      holdQueues
 	evacuations     *evacuations
 	waitQueues      waitQueues
@@ -154,12 +158,14 @@
 		readAhead:       bufferlimit.New(cmp.Or(opts.ReadAheadBytes, defaultReadAhead), 0),
 		streamReadAhead: cmp.Or(opts.StreamReadAheadBytes, defaultStreamReadAhead),
 		bodies:          bodybudget.New(bodyMemoryBytes(opts.MemoryMB)),
+		guard:           connguard.New(connguard.OptionsFor(cmp.Or(opts.MemoryMB, defaultMemoryMB), settings.BodyRate(), opts.Logger)),
 	}
 	gatewayMetrics.Gauge("streams_waiting", "Streams that wait for a target with room.", g.waitQueues.waiting.Load)
 	gatewayMetrics.Gauge("body_bytes", "Bytes that are held or reserved for the bodies of requests.", g.bodies.Used)
 	gatewayMetrics.Gauge("bodies_dropped", "Bodies that were let go after they had been sent, for the memory.", g.bodies.Dropped)
 	gatewayMetrics.Gauge("read_ahead_bytes", "Bytes of events that were read from targets while their clients read slowly.", g.readAhead.Used)
 	gatewayMetrics.Gauge("bodies_refused", "Bodies that got no memory.", g.bodies.Refused)
+	g.guard.RegisterGauges(gatewayMetrics.Gauge)
 	g.targets = registry.NewKeeper(g.decodeTarget, opts.Logger)
 	self := feed.Member{Name: opts.VM, Region: opts.Regions[opts.Datacentre], Addr: opts.PeerListener.Addr().String(), LinkMbps: opts.LinkMbps}
 	g.members = feed.NewMemberRegistry(self, opts.Store, opts.Logger)
@@ -228,12 +234,12 @@
 	}
 	supervisorDone := supervisor.ServeBackground(controlCtx)
 	frontend := newFrontend(g)
-	readyServer := &http.Server{Handler: g.readyHandler(), ReadHeaderTimeout: internalHeaderTimeout}
+	readyServer := g.internalServer(g.readyHandler())
 	defer g.close("readiness", readyServer)
-	go g.serveListener("readiness", readyServer, g.opts.ReadinessListener)
-	peerServer := &http.Server{Handler: g.peerHandler(), ReadHeaderTimeout: internalHeaderTimeout}
+	go g.serveListener("readiness", readyServer, g.guardListener(g.opts.ReadinessListener))
+	peerServer := g.internalServer(g.peerHandler())
 	defer g.close("peers", peerServer)
-	go g.serveListener("peers", peerServer, g.opts.PeerListener)
+	go g.serveListener("peers", peerServer, g.guardListener(g.opts.PeerListener))
 	go frontend.serve()
 	select {
 	case err := <-supervisorDone:
@@ -259,6 +265,13 @@
 	telemetry.Info(g.opts.Logger, "stop", "took_ms", time.Since(startedAt).Milliseconds(), "cut", g.metrics.activeRequests.Load(), "busy_connections", busy)
 }
 
+// guardListener returns a listener whose connections are in the account of the process.
+func (g *Gateway) guardListener(l net.Listener) net.Listener {
+	guarded := httpserve.NewListener(l, nil)
+	guarded.SetGuard(g.guard)
+	return guarded
+}
+
 // serveListener serves connections until the server or its listener is closed.
 func (g *Gateway) serveListener(name string, s *http.Server, l net.Listener) {
 	err := s.Serve(l)
