--- a/decision/coldrate.go
+++ b/decision/coldrate.go
@@ -126,37 +126,37 @@
 	return share
 }
 
-// ColdState is what a process knows about how long a target stays cold. The word of the
+// ColdState is what a process knows about how long a target stays cold. the statement of the
 // target's sidecar takes precedence over the target's entry while it is recent; the entry
 // may be old.
 type ColdState struct {
-	wordAt    time.Time
-	wordUntil time.Time
+	statedAt    time.Time
+	statedUntil time.Time
 }
 
-// MaxColdWordAge is the time for which the word of a sidecar counts as recent. It covers a
+// MaxColdStatementAge is the time for which the statement of a sidecar counts as recent. It covers a
 // keepalive period of the sidecar's stream and a transfer between regions.
-const MaxColdWordAge = 1500 * time.Millisecond
+const MaxColdStatementAge = 1500 * time.Millisecond
 
-// SetWord records the sidecar's word that the target stays cold for the given time.
-func (s *ColdState) SetWord(now time.Time, remaining time.Duration) {
-	s.wordAt, s.wordUntil = now, now.Add(remaining)
+// SetStatement records the sidecar's statement that the target stays cold for the given time.
+func (s *ColdState) SetStatement(now time.Time, remaining time.Duration) {
+	s.statedAt, s.statedUntil = now, now.Add(remaining)
 }
 
-// HasRecentWord reports whether the sidecar has recently stated how long the target stays
+// HasRecentStatement reports whether the sidecar has recently stated how long the target stays
 // cold.
-func (s *ColdState) HasRecentWord(now time.Time) bool {
-	return !s.wordAt.IsZero() && now.Sub(s.wordAt) <= MaxColdWordAge
+func (s *ColdState) HasRecentStatement(now time.Time) bool {
+	return !s.statedAt.IsZero() && now.Sub(s.statedAt) <= MaxColdStatementAge
 }
 
-// HadWord reports whether the sidecar has ever stated how long the target stays cold.
-func (s *ColdState) HadWord() bool { return !s.wordAt.IsZero() }
+// HadStatement reports whether the sidecar has ever stated how long the target stays cold.
+func (s *ColdState) HadStatement() bool { return !s.statedAt.IsZero() }
 
 // Until returns the time until which the target may be cold. entryUntil is the time that
 // follows from the target's entry.
 func (s *ColdState) Until(now, entryUntil time.Time) time.Time {
-	if s.HasRecentWord(now) || s.wordUntil.After(entryUntil) {
-		return s.wordUntil
+	if s.HasRecentStatement(now) || s.statedUntil.After(entryUntil) {
+		return s.statedUntil
 	}
 	return entryUntil
 }
--- a/decision/coldrate_test.go
+++ b/decision/coldrate_test.go
@@ -111,17 +111,17 @@
 	})
 }
 
-// Guards against an old entry that overrides the word of the sidecar, and against a silent
+// Guards against an old entry that overrides the statement of the sidecar, and against a silent
 // sidecar whose last word is forgotten.
 func TestColdState(t *testing.T) {
 	now := time.Unix(1000, 0)
 	convey.Convey("A recent word takes precedence, an old one and the entry both count", t, func() {
 		var s ColdState
 		convey.So(s.Until(now, now.Add(time.Second)), convey.ShouldEqual, now.Add(time.Second))
-		s.SetWord(now, 0)
+		s.SetStatement(now, 0)
 		convey.So(s.Until(now, now.Add(time.Second)), convey.ShouldEqual, now)
 		convey.So(s.Until(now.Add(2*time.Second), now.Add(9*time.Second)), convey.ShouldEqual, now.Add(9*time.Second))
-		s.SetWord(now, 20*time.Second)
+		s.SetStatement(now, 20*time.Second)
 		convey.So(s.Until(now.Add(5*time.Second), now), convey.ShouldEqual, now.Add(20*time.Second))
 	})
 }
@@ -318,7 +318,7 @@
 			}
 			g.reportAt[s.index(x)] = s.now
 			if known {
-				g.cold[s.index(x)].SetWord(s.now, remaining)
+				g.cold[s.index(x)].SetStatement(s.now, remaining)
 			}
 		})
 	}
@@ -464,7 +464,7 @@
 		s.send(x)
 	}
 	entryCold := g.cold[i].Until(s.now, g.entryUntil[i]).After(s.now)
-	if !s.sidecars || entryCold && !g.cold[i].HadWord() {
+	if !s.sidecars || entryCold && !g.cold[i].HadStatement() {
 		beyond(entryCold)
 		return
 	}
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -35,8 +35,8 @@
 	// maxGrantTries is the number of grants that one attempt asks for if the connection
 	// takes longer to open than a grant holds.
 	maxGrantTries = 2
-	// maxColdWord limits the time that a sidecar may state. Larger values are ignored.
-	maxColdWord = time.Hour
+	// maxColdStatement limits the time that a sidecar may state. Larger values are ignored.
+	maxColdStatement = time.Hour
 )
 
 // coldGrant is a grant of a sidecar, or a part of this gateway's share, for one request to
@@ -196,7 +196,7 @@
 func (g *Gateway) mayBeCold(ctx context.Context, req *request, t *registry.Target) bool {
 	now := time.Now()
 	entryCold := t.ColdUntil(now).After(now)
-	if !g.hasSidecars(req.service) || g.opts.ColdProber == nil || entryCold && !t.Load.HadColdWord() {
+	if !g.hasSidecars(req.service) || g.opts.ColdProber == nil || entryCold && !t.Load.HadColdStatement() {
 		return entryCold
 	}
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
@@ -252,7 +252,7 @@
 	t.Load.DenyCold(now.Add(coldDenialTime))
 	g.metrics.recordCold(req.service.Name, by, false)
 	telemetry.Info(g.opts.Logger, "cold target not used", "request", req.ID, "target", t.ID, "service", req.service.Name, "by", by, "share", share,
-		"cold_ms", t.ColdUntil(now).Sub(now).Milliseconds(), "sidecar_meters", t.Load.MetersCold(now), "cold_per_s", req.service.ColdPerSecond,
+		"cold_ms", t.ColdUntil(now).Sub(now).Milliseconds(), "sidecar_meters", t.Load.MetersCold(now), "cold_rate", req.service.ColdPerSecond,
 		"cold_start_ms", req.service.ColdStart.Milliseconds(), "members", g.members.Count(), "state_age_ms", g.feedHub.StateAge(now).Milliseconds())
 }
 
@@ -262,9 +262,9 @@
 	if millis == nil {
 		return
 	}
-	if *millis < 0 || *millis > maxColdWord.Milliseconds() {
+	if *millis < 0 || *millis > maxColdStatement.Milliseconds() {
 		g.metrics.recordIgnored("sidecar")
-		if t.Load.IsFirstOddCold() {
+		if t.Load.IsFirstInvalidCold() {
 			telemetry.Warn(g.opts.Logger, "invalid cold time of a sidecar ignored", "target", t.ID, "cold_ms", *millis)
 		}
 		return
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -91,7 +91,7 @@
 	// or does not count them.
 	sidecarSilentUntil time.Time
 	coldUnmeteredUntil time.Time
-	oddColdLogged      atomic.Bool
+	invalidColdLogged  atomic.Bool
 	// replacedAt is when another incarnation last reported from the address, in Unix
 	// nanoseconds.
 	replacedAt atomic.Int64
@@ -169,20 +169,20 @@
 	return report
 }
 
-// SetCold records the word of the target's sidecar that the target stays cold for the given
+// SetCold records the statement of the target's sidecar that the target stays cold for the given
 // time.
 func (l *Load) SetCold(now time.Time, remaining time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.cold.SetWord(now, remaining)
+	l.cold.SetStatement(now, remaining)
 }
 
-// HadColdWord reports whether the target's sidecar has ever stated how long the target
+// HadColdStatement reports whether the target's sidecar has ever stated how long the target
 // stays cold.
-func (l *Load) HadColdWord() bool {
+func (l *Load) HadColdStatement() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.cold.HadWord()
+	return l.cold.HadStatement()
 }
 
 func (l *Load) coldUntil(now time.Time) time.Time {
@@ -261,9 +261,9 @@
 	return now.Before(l.coldDeniedUntil)
 }
 
-// IsFirstOddCold reports whether this is the first call, for a log line about an odd word
+// IsFirstInvalidCold reports whether this is the first call, for a log line about an invalid statement
 // of the sidecar.
-func (l *Load) IsFirstOddCold() bool { return !l.oddColdLogged.Swap(true) }
+func (l *Load) IsFirstInvalidCold() bool { return !l.invalidColdLogged.Swap(true) }
 
 // RaiseBacklog raises the number of prompt tokens to be prefilled in the load report.
 func (l *Load) RaiseBacklog(prefillTokens int) {
--- a/sidecar/cold.go
+++ b/sidecar/cold.go
@@ -10,8 +10,8 @@
 	"github.com/quetzalglade/quetzalglade/telemetry"
 )
 
-// ErrOddCold means that an engine states a time out of range for which it stays cold.
-var ErrOddCold = errors.New("the stated time is out of range")
+// ErrInvalidCold means that an engine states a time out of range for which it stays cold.
+var ErrInvalidCold = errors.New("the stated time is out of range")
 
 const (
 	// maxStatementPolls is the age of the engine's statement, in poll periods, up to which
@@ -216,7 +216,7 @@
 			p.hold.Shed(time.Now(), refused.RetryAfter, 0)
 		}
 		if !s.setColdFailed() && ctx.Err() == nil {
-			telemetry.Warn(s.opts.Logger, "asking the engine whether it is cold failed", "odd", errors.Is(err, ErrOddCold), "err", err)
+			telemetry.Warn(s.opts.Logger, "asking the engine whether it is cold failed", "out_of_range", errors.Is(err, ErrInvalidCold), "err", err)
 		}
 		return
 	}
--- a/sidecar/cold_test.go
+++ b/sidecar/cold_test.go
@@ -143,7 +143,7 @@
 		convey.So(grants(3, 0), convey.ShouldEqual, 0)
 	})
 	convey.Convey("An odd statement and a new incarnation do not make the engine warm", t, func() {
-		engine.setCold(0, errors.Wrap(ErrOddCold, "health"))
+		engine.setCold(0, errors.Wrap(ErrInvalidCold, "health"))
 		f.poll()
 		convey.So(reserve(&limit, true).ColdMillis, convey.ShouldBeNil)
 		engine.setCold(0, nil)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -28,7 +28,7 @@
 	// Slowdown returns the factor by which the engine's work currently takes
 	// longer than at the reference speed.
 	Slowdown(ctx context.Context, addr string) (float64, error)
-	// Cold returns how long the engine stays cold. A value out of range is ErrOddCold.
+	// Cold returns how long the engine stays cold. A value out of range is ErrInvalidCold.
 	Cold(ctx context.Context, addr string) (time.Duration, error)
 }
 
