--- a/review/lab2/worker.go
+++ b/review/lab2/worker.go
@@ -359,8 +359,8 @@
 		delete(to.copies, to.addr+"/"+id)
 		to.mu.Unlock()
 	}
-	if reason == "stopped by kv-move" {
-		// Its stream is closed without its end.
+	if reason != "complete" {
+		// The stream is closed without its end.
 		panic(http.ErrAbortHandler)
 	}
 }
