--- a/review/lab2/cases.go
+++ b/review/lab2/cases.go
@@ -18,6 +18,7 @@
 
 var sizes = map[string]size{
 	"held-source":  {workers: 8, slots: 4, queue: 2, memoryMB: 284, drain: 3300 * time.Millisecond},
+	"last-tenant":  {workers: 1, slots: 24, queue: 24, memoryMB: 284, drain: 3300 * time.Millisecond},
 	"dropped-call": {workers: 8, slots: 24, queue: 24, memoryMB: 184, drain: 4300 * time.Millisecond},
 }
 
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){
 	"held-source":  heldSource,
 	"dropped-call": droppedCall,
+	"last-tenant":  lastTenant,
 }
 
 func main() {
