--- a/entry/badinput_test.go
+++ b/entry/badinput_test.go
@@ -14,6 +14,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/quetzalglade/quetzalglade/agent"
 	"github.com/quetzalglade/quetzalglade/config"
 	"github.com/quetzalglade/quetzalglade/internal/demo"
 	"github.com/quetzalglade/quetzalglade/internal/standin"
@@ -25,13 +26,16 @@
 	w2Key = "key-of-w2"
 )
 
-func startFleet(t *testing.T) *demo.Fleet {
+func startFleet(t *testing.T) *demo.Fleet { return startFleetWith(t, nil) }
+
+// startFleetWith starts a fleet whose agents have changed options.
+func startFleetWith(t *testing.T, adjustAgent func(*agent.Options)) *demo.Fleet {
 	t.Helper()
 	engine := standin.DefaultEngineOptions()
 	engine.Models, engine.StepBase, engine.StepPerSequence, engine.StepPerPromptToken = []string{"m1"}, time.Millisecond, 0, 0
 	location := demo.Location{Datacentre: "c1", Region: "central"}
 	f, err := demo.Start(demo.Options{
-		Engines: []demo.Location{location}, Plains: []demo.Location{location}, Entries: []demo.Location{location}, Engine: engine, PlainRole: "booking",
+		Engines: []demo.Location{location}, Plains: []demo.Location{location}, Entries: []demo.Location{location}, Engine: engine, PlainRole: "booking", AdjustAgent: adjustAgent,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -70,10 +74,19 @@
 // one. header holds names and values in turn.
 func sendRequest(t *testing.T, method, url, key, body string, header ...string) callerResponse {
 	t.Helper()
-	req, err := http.NewRequestWithContext(context.Background(), method, url, strings.NewReader(body))
+	response, err := trySend(context.Background(), method, url, key, body, header...)
 	if err != nil {
 		t.Fatal(err)
 	}
+	return response
+}
+
+// trySend is like sendRequest and returns an error if no complete response arrives.
+func trySend(ctx context.Context, method, url, key, body string, header ...string) (callerResponse, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		return callerResponse{}, err
+	}
 	if key != "" {
 		req.Header.Set("Authorization", "Bearer "+key)
 	}
@@ -82,18 +95,18 @@
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		t.Fatal(err)
+		return callerResponse{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(resp.Body)
 	if err != nil {
-		t.Fatal(err)
+		return callerResponse{}, err
 	}
 	response := callerResponse{status: resp.StatusCode, body: string(data), header: resp.Header}
 	if e := result.Decode(data); e != nil {
 		response.code, response.ran = e.Code, e.Ran
 	}
-	return response
+	return response, nil
 }
 
 // completionBody returns the body of a completion request; extraFields is appended
--- /dev/null
+++ b/internal/httpclient/headcheck.go
@@ -0,0 +1,82 @@
+package httpclient
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalglade/quetzalglade/internal/httphead"
+)
+
+// headConn is a client connection that checks the head of each response.
+type headConn struct {
+	net.Conn
+
+	mu   sync.Mutex
+	head httphead.Checker
+}
+
+// expectHead makes the next data that is read the head of a response.
+func (c *headConn) expectHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head = httphead.Checker{}
+}
+
+func (c *headConn) check(p []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.Check(p)
+}
+
+func (c *headConn) hasValidHead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.Valid()
+}
+
+// Read implements net.Conn. After an invalid head it only returns the error.
+func (c *headConn) Read(p []byte) (int, error) {
+	if err := c.check(nil); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(p)
+	// Without the data of an invalid line, no parser takes the head for complete.
+	if err := c.check(p[:n]); err != nil {
+		return 0, err
+	}
+	return n, err
+}
+
+// headTransport is a transport whose connections are of type headConn.
+type headTransport struct{ *http.Transport }
+
+// RoundTrip implements http.RoundTripper. A response whose head is not valid by HTTP/1.1 is an
+// error.
+func (t headTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	var used atomic.Pointer[headConn]
+	// The transport calls GotConn before it writes the request, when it has read all of the
+	// response to the connection's last request.
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn, ok := info.Conn.(*headConn); ok {
+			conn.expectHead()
+			used.Store(conn)
+		}
+	}}
+	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if conn := used.Load(); conn == nil || !conn.hasValidHead() {
+		_ = resp.Body.Close()
+		if conn != nil {
+			_ = conn.Close()
+		}
+		return nil, errors.Wrap(httphead.ErrInvalid, "a part of the head arrived before the connection was chosen")
+	}
+	return resp, nil
+}
--- a/internal/httpclient/httpclient.go
+++ b/internal/httpclient/httpclient.go
@@ -43,26 +43,68 @@
 
 // New returns a client that ignores proxy settings of the environment and does
 // not follow redirects, since a followed redirect could run a call a second
-// time. The default dialer has a timeout of two seconds.
+// time. The default dialer has a timeout of two seconds. A response whose head is
+// not valid by HTTP/1.1 is an error.
 func New(o Options) *http.Client {
 	dial := o.Dial
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}).DialContext
 	}
 	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:         dial,
-			TLSClientConfig:     o.TLS,
-			TLSHandshakeTimeout: handshakeTimeout,
+		Transport: headTransport{&http.Transport{
+			DialContext:         dialChecked(dial),
+			DialTLSContext:      dialChecked(dialTLS(dial, o.TLS)),
 			MaxIdleConnsPerHost: o.IdlePerHost,
 			IdleConnTimeout:     idleTimeout,
 
 			MaxResponseHeaderBytes: maxHeaderBytes,
-		},
+		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
+type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// dialChecked returns a dialer whose connections are of type headConn.
+func dialChecked(dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &headConn{Conn: conn}, nil
+	}
+}
+
+// dialTLS returns a dialer that opens a connection with TLS on one of dial's. A handshake by
+// the transport would hide the responses from a connection below it.
+func dialTLS(dial dialFunc, config *tls.Config) dialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		raw, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		c := &tls.Config{}
+		if config != nil {
+			c = config.Clone()
+		}
+		if c.ServerName == "" {
+			if c.ServerName, _, err = net.SplitHostPort(addr); err != nil {
+				_ = raw.Close()
+				return nil, err
+			}
+		}
+		ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+		defer cancel()
+		conn := tls.Client(raw, c)
+		if err := conn.HandshakeContext(ctx); err != nil {
+			_ = raw.Close()
+			return nil, err
+		}
+		return conn, nil
+	}
+}
+
 // SendJSON sends a request with payload as its JSON body; a nil payload sends
 // no body. The caller must release the response with CloseBody.
 func SendJSON(ctx context.Context, client *http.Client, method, url string, payload any) (*http.Response, error) {
--- /dev/null
+++ b/internal/httphead/httphead.go
@@ -0,0 +1,100 @@
+// Package httphead checks the heads of responses against HTTP/1.1 (RFC 9110, RFC 9112) while
+// they are received. The parser of net/http accepts heads that are not valid, and what such a
+// head states can't be relied on: neither its status nor where its body ends.
+package httphead
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
+)
+
+// ErrInvalid is the cause of the errors for heads that are not valid by HTTP/1.1.
+var ErrInvalid = errors.New("response head is not valid by HTTP/1.1")
+
+// Checker checks the head of one response, with the informational responses before it. The
+// zero value waits for the first byte. A Checker keeps at most one line; the caller limits the
+// length of the head.
+type Checker struct {
+	// line is the beginning of a line whose end has not been received.
+	line []byte
+	// status is the status code of the current head, 0 before its status line has ended.
+	status int
+	valid  bool
+	err    error
+}
+
+// Check checks the next bytes of a response. It ignores those after the head. It returns an
+// error if the head is not valid, then for all further bytes too.
+func (c *Checker) Check(p []byte) error {
+	for c.err == nil && !c.valid && len(p) > 0 {
+		line, rest, ended := bytes.Cut(p, []byte("\n"))
+		if !ended {
+			c.line = append(c.line, line...)
+			return nil
+		}
+		if len(c.line) > 0 {
+			line = append(c.line, line...)
+			c.line = nil
+		}
+		c.err = c.checkLine(bytes.TrimSuffix(line, []byte("\r")))
+		p = rest
+	}
+	return c.err
+}
+
+// Valid reports whether the whole head was received and is valid.
+func (c *Checker) Valid() bool { return c.valid }
+
+func (c *Checker) checkLine(line []byte) error {
+	var err error
+	switch {
+	case c.status == 0:
+		c.status, err = parseStatusLine(line)
+	case len(line) == 0:
+		c.endHead()
+	}
+	return err
+}
+
+// endHead ends the current head. Another one follows that of an informational response.
+func (c *Checker) endHead() {
+	c.valid = c.status >= http.StatusOK
+	c.status = 0
+}
+
+// Parts of a status line: a version of HTTP/1, a blank and a status code, then a blank and the
+// reason. Widespread servers omit the last blank if there is no reason.
+const (
+	versionPrefix = "HTTP/1."
+	statusStart   = len(versionPrefix) + 2
+	statusEnd     = statusStart + 3
+)
+
+// parseStatusLine returns the status code of a status line.
+func parseStatusLine(line []byte) (int, error) {
+	if len(line) < statusEnd || !bytes.HasPrefix(line, []byte(versionPrefix)) ||
+		!isDigit(line[len(versionPrefix)]) || line[statusStart-1] != ' ' || len(line) > statusEnd && line[statusEnd] != ' ' {
+		return 0, errors.Wrapf(ErrInvalid, "status line %.40q", line)
+	}
+	if !httpguts.ValidHeaderFieldValue(string(line[statusEnd:])) {
+		return 0, errors.Wrapf(ErrInvalid, "reason %.40q", line[statusEnd:])
+	}
+	// A sign is no digit.
+	status, err := strconv.ParseUint(string(line[statusStart:statusEnd]), 10, 0)
+	if err != nil || status < http.StatusContinue || status > maxStatus {
+		return 0, errors.Wrapf(ErrInvalid, "status code %q", line[statusStart:statusEnd])
+	}
+	if status == http.StatusSwitchingProtocols {
+		return 0, errors.Wrap(ErrInvalid, "status code 101 without a request to switch protocols")
+	}
+	return int(status), nil
+}
+
+// maxStatus is the largest valid status code (RFC 9110, section 15).
+const maxStatus = 599
+
+func isDigit(b byte) bool { return '0' <= b && b <= '9' }
--- a/internal/httpwire/await_test.go
+++ b/internal/httpwire/await_test.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &Conn{net: client, input: &headLimiter{r: client}}
+	c := &Conn{net: client, input: &headReader{r: client}}
 	c.reader = bufio.NewReader(c.input)
 	defer c.Close()
 	if err := c.Send(&Request{Method: "GET", Path: "/", Host: "h"}); err != nil {
--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -20,6 +20,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalglade/quetzalglade/internal/httphead"
 )
 
 // Request is an HTTP request to send. Path is sent unchanged.
@@ -52,7 +54,7 @@
 // Conn is a client connection that carries one request at a time.
 type Conn struct {
 	net    net.Conn
-	input  *headLimiter
+	input  *headReader
 	reader *bufio.Reader
 	addr   string
 	reused bool
@@ -74,34 +76,56 @@
 // ErrHeadTooLarge is returned by Receive for a response whose head exceeds the limit.
 var ErrHeadTooLarge = errors.New("response head exceeds the size limit")
 
-// headLimiter limits the data that is read while a response head is received.
-type headLimiter struct {
+// headReader limits and checks the data that is read while a response head is received.
+type headReader struct {
 	r io.Reader
-	// remaining is the number of bytes that may still be read. It applies if limited is
-	// set.
+	// remaining is the number of bytes that may still be read. It and head apply if
+	// receiving is set.
 	remaining int
-	limited   bool
+	head      httphead.Checker
+	receiving bool
 	// failure is the error that has ended the reads. The system reports a reset once only.
 	failure error
 }
 
+// begin starts to receive a head, of which the given data has been read before.
+func (h *headReader) begin(buffered []byte) error {
+	h.receiving, h.remaining, h.head = true, maxHeadBytes, httphead.Checker{}
+	return h.check(buffered)
+}
+
+func (h *headReader) end() { h.receiving = false }
+
+// check checks data of a head. An error ends the reads.
+func (h *headReader) check(p []byte) error {
+	err := h.head.Check(p)
+	if err != nil {
+		h.failure = err
+	}
+	return err
+}
+
 // Read implements io.Reader.
-func (l *headLimiter) Read(p []byte) (int, error) {
-	if l.failure != nil {
-		return 0, l.failure
+func (h *headReader) Read(p []byte) (int, error) {
+	if h.failure != nil {
+		return 0, h.failure
 	}
-	if l.limited {
-		if l.remaining <= 0 {
+	if h.receiving {
+		if h.remaining <= 0 {
 			return 0, ErrHeadTooLarge
 		}
-		p = p[:min(len(p), l.remaining)]
-	}
-	n, err := l.r.Read(p)
-	if l.limited {
-		l.remaining -= n
+		p = p[:min(len(p), h.remaining)]
 	}
+	n, err := h.r.Read(p)
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		l.failure = err
+		h.failure = err
+	}
+	if h.receiving {
+		h.remaining -= n
+		// Without the data of an invalid line, no parser takes the head for complete.
+		if err := h.check(p[:n]); err != nil {
+			return 0, err
+		}
 	}
 	return n, err
 }
@@ -162,19 +186,27 @@
 }
 
 // Receive reads the status line and the header of the next final response and
-// skips informational ones. The method is that of the request.
+// skips informational ones. The method is that of the request. A head that is not
+// valid by HTTP/1.1 is an error.
 func (c *Conn) Receive(method string) (*http.Response, error) {
 	req := &http.Request{Method: method}
-	c.input.limited, c.input.remaining = true, maxHeadBytes
-	defer func() { c.input.limited = false }()
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	defer c.input.end()
+	if err := c.input.begin(buffered); err != nil {
+		return nil, errors.Wrap(err, "read response")
+	}
 	for range maxInformationalResponses {
 		resp, err := http.ReadResponse(c.reader, req)
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
 		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
-			return resp, nil
+		if resp.StatusCode < http.StatusOK {
+			continue
+		}
+		if !c.input.head.Valid() {
+			return nil, errors.Wrap(httphead.ErrInvalid, "read response: the head has not ended")
 		}
+		return resp, nil
 	}
 	return nil, errors.New("too many informational (1xx) responses before the final one")
 }
--- a/internal/httpwire/conn_test.go
+++ b/internal/httpwire/conn_test.go
@@ -79,7 +79,7 @@
 func TestAwaitLeavesTheConnectionUsable(t *testing.T) {
 	client, server := net.Pipe()
 	t.Cleanup(func() { _ = server.Close() })
-	conn := &Conn{net: client, input: &headLimiter{r: client}}
+	conn := &Conn{net: client, input: &headReader{r: client}}
 	conn.reader = bufio.NewReader(conn.input)
 	Convey("Without data, a wait ends after its time", t, func() {
 		So(conn.Await(time.Millisecond), ShouldBeFalse)
--- a/internal/httpwire/pool.go
+++ b/internal/httpwire/pool.go
@@ -90,7 +90,7 @@
 	if err != nil {
 		return nil, err
 	}
-	input := &headLimiter{r: netConn}
+	input := &headReader{r: netConn}
 	return &Conn{net: netConn, input: input, reader: bufio.NewReaderSize(input, readBufferBytes), addr: addr}, nil
 }
 
--- /dev/null
+++ b/internal/platformtest/heads.go
@@ -0,0 +1,66 @@
+package platformtest
+
+import (
+	"strconv"
+	"strings"
+)
+
+// Response is the text of an HTTP response with a name for tests.
+type Response struct{ Name, Text string }
+
+// InvalidStatusLines returns responses to a request for a body whose status line is not
+// valid by HTTP/1.1. All have the given fields, each with its line end, and a length.
+func InvalidStatusLines(fields, body string) []Response {
+	rest := fields + contentLength(body) + "\r\n" + body
+	sound := "HTTP/1.1 200 OK\r\n" + rest
+	return []Response{
+		{"status 000", "HTTP/1.1 000 OK\r\n" + rest},
+		{"status 000 before another response", "HTTP/1.1 000 OK\r\n\r\n" + sound},
+		{"status 000 whose body is another response", "HTTP/1.1 000 OK\r\n" + contentLength(sound) + "\r\n" + sound},
+		{"status 099", "HTTP/1.1 099 OK\r\n" + rest},
+		{"status 099 before another response", "HTTP/1.1 099 OK\r\n\r\n" + sound},
+		{"status 600", "HTTP/1.1 600 OK\r\n" + rest},
+		{"status 999", "HTTP/1.1 999 OK\r\n" + rest},
+		{"status +20", "HTTP/1.1 +20 OK\r\n" + rest},
+		{"status -00 before another response", "HTTP/1.1 -00 OK\r\n\r\n" + sound},
+		{"status 20", "HTTP/1.1 20 OK\r\n" + rest},
+		{"status 2000", "HTTP/1.1 2000 OK\r\n" + rest},
+		{"status 20x", "HTTP/1.1 20x OK\r\n" + rest},
+		{"status 101 without a request for it", "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n" + rest},
+		{"an invalid informational status line", "HTTP/1.1 103 Early\x01Hints\r\n\r\n" + sound},
+		{"two blanks before the status", "HTTP/1.1  200 OK\r\n" + rest},
+		{"a tab before the reason", "HTTP/1.1 200\tOK\r\n" + rest},
+		{"a control byte in the reason", "HTTP/1.1 200 O\x01K\r\n" + rest},
+		{"a carriage return in the reason", "HTTP/1.1 200 O\rK\r\n" + rest},
+		{"version 2.0", "HTTP/2.0 200 OK\r\n" + rest},
+		{"version 0.9", "HTTP/0.9 200 OK\r\n" + rest},
+		{"a version in lower case", "http/1.1 200 OK\r\n" + rest},
+		{"no version", "200 OK\r\n" + rest},
+	}
+}
+
+// ValidResponses returns responses to a request for a body that a parser may take for
+// invalid ones. All have the given fields, each with its line end.
+func ValidResponses(fields, body string) []Response {
+	const status = "HTTP/1.1 200 OK\r\n"
+	length, end := contentLength(body), "\r\n"+body
+	return []Response{
+		{"an ordinary head", status + fields + length + end},
+		{"an empty reason", "HTTP/1.1 200 \r\n" + fields + length + end},
+		{"no reason", "HTTP/1.1 200\r\n" + fields + length + end},
+		{"a reason beyond ASCII", "HTTP/1.1 200 \xc3\xa7a va\r\n" + fields + length + end},
+		{"version 1.0", "HTTP/1.0 200 OK\r\n" + fields + length + end},
+		{"status 299", "HTTP/1.1 299 Other\r\n" + fields + length + end},
+		{"informational responses", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + status + fields + length + end},
+		{"line feeds alone", strings.ReplaceAll(status+fields+length+"\r\n", "\r\n", "\n") + body},
+		{"each byte of a token in a name", status + fields + "!#$%&'*+-.^_`|~09azAZ: w\r\n" + length + end},
+		{"no blank before a value", status + fields + "X-Worker:w\r\n" + length + end},
+		{"an empty value", status + fields + "X-Worker:\r\n" + length + end},
+		{"a tab and a byte beyond ASCII in a value", status + fields + "X-Worker: \tw\t\xe9 \r\n" + length + end},
+		{"a colon and a head in a value", status + fields + "X-Worker: HTTP/1.1 000 : X Y: z\r\n" + length + end},
+		{"the same length twice", status + fields + length + length + end},
+		{"chunks", status + fields + "Transfer-Encoding: chunked\r\n\r\n" + strconv.FormatInt(int64(len(body)), 16) + "\r\n" + body + "\r\n0\r\n\r\n"},
+	}
+}
+
+func contentLength(body string) string { return "Content-Length: " + strconv.Itoa(len(body)) + "\r\n" }
