--- a/entry/brokenhead_test.go
+++ b/entry/brokenhead_test.go
@@ -156,6 +156,10 @@
 	testInvalidHeads(t, platformtest.InvalidStatusLines)
 }
 
+// Guards against a caller that gets a response with an invalid field line, or with a body
+// that is not the target's because of such a line.
+func TestInvalidFieldsReachNoCaller(t *testing.T) { testInvalidHeads(t, platformtest.InvalidFields) }
+
 // Guards against a check of heads that loses valid responses.
 func TestUnusualHeadsReachCallers(t *testing.T) {
 	convey.Convey("Given targets that send a valid response, callers get it", t, func() {
--- a/internal/httpclient/headcheck_test.go
+++ b/internal/httpclient/headcheck_test.go
@@ -125,6 +125,14 @@
 	})
 }
 
+// Guards against a response to a process of the fleet, or to the store, with an invalid field
+// line, or whose body is taken from the wrong bytes because of such a line.
+func TestInvalidFields(t *testing.T) {
+	convey.Convey("A response with an invalid field line is an error", t, func() {
+		convey.So(testHeads(t, platformtest.InvalidFields(soundFields, soundBody), isError), convey.ShouldBeEmpty)
+	})
+}
+
 // Guards against a check of heads that loses valid responses.
 func TestUnusualHeads(t *testing.T) {
 	convey.Convey("A valid response is one", t, func() {
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -56,10 +56,25 @@
 		c.status, err = parseStatusLine(line)
 	case len(line) == 0:
 		c.endHead()
+	default:
+		err = checkField(line)
 	}
 	return err
 }
 
+// checkField checks a field line. The continuation of a folded line is not valid either: its
+// name holds a blank.
+func checkField(line []byte) error {
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	if !ok || !httpguts.ValidHeaderFieldName(string(name)) {
+		return errors.Wrapf(ErrInvalid, "name of field line %.40q", line)
+	}
+	if !httpguts.ValidHeaderFieldValue(string(value)) {
+		return errors.Wrapf(ErrInvalid, "value of field line %.40q", line)
+	}
+	return nil
+}
+
 // endHead ends the current head. Another one follows that of an informational response.
 func (c *Checker) endHead() {
 	c.valid = c.status >= http.StatusOK
--- a/internal/httphead/httphead_test.go
+++ b/internal/httphead/httphead_test.go
@@ -1,6 +1,7 @@
 package httphead
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -48,6 +49,23 @@
 	})
 }
 
+func TestInvalidFields(t *testing.T) {
+	convey.Convey("Heads with an invalid field line are not valid", t, func() {
+		convey.So(wrongVerdicts(platformtest.InvalidFields(testFields, testBody), false), convey.ShouldBeEmpty)
+	})
+	convey.Convey("No byte but those of a token is valid in a name", t, func() {
+		const token = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+		for b := range 256 {
+			name := "X" + string([]byte{byte(b)}) + "Worker"
+			// A colon ends the name, a line feed the line.
+			want := strings.IndexByte(token, byte(b)) >= 0 || b == ':'
+			text := "HTTP/1.1 200 OK\r\n" + name + ": w\r\n\r\n"
+			c, _ := checkPieces(text, len(text))
+			convey.So(c.Valid(), convey.ShouldEqual, want)
+		}
+	})
+}
+
 func TestValidHeads(t *testing.T) {
 	convey.Convey("Unusual heads are valid", t, func() {
 		convey.So(wrongVerdicts(platformtest.ValidResponses(testFields, testBody), true), convey.ShouldBeEmpty)
--- a/internal/platformtest/heads.go
+++ b/internal/platformtest/heads.go
@@ -39,6 +39,47 @@
 	}
 }
 
+// InvalidFields returns responses to a request for a body that have a field line which is
+// not valid by HTTP/1.1. All have the given fields, each with its line end, too.
+func InvalidFields(fields, body string) []Response {
+	const status = "HTTP/1.1 200 OK\r\n"
+	length, end := contentLength(body), "\r\n"+body
+	chunks := "\r\n" + strconv.FormatInt(int64(len(body)), 16) + "\r\n" + body + "\r\n0\r\n\r\n"
+	invalid := []Response{
+		{"a blank before the colon of Content-Length", status + fields + "Content-Length : " + strconv.Itoa(len(body)) + "\r\n" + end + "of another response"},
+		{"a blank before the colon of Transfer-Encoding", status + fields + "Transfer-Encoding : chunked\r\n" + chunks},
+		{"a blank before the name of Transfer-Encoding", status + fields + " Transfer-Encoding: chunked\r\n" + chunks},
+		{"a folded line as the first field", status + " folded\r\n" + fields + length + end},
+		{"an invalid field of an informational response", "HTTP/1.1 103 Early Hints\r\nX Worker: w\r\n\r\n" + status + fields + length + end},
+	}
+	for _, line := range []Response{
+		{"a blank in a name", "X Worker: w"},
+		{"a blank before a colon", "X-Worker : w"},
+		{"a blank before a name", " X-Worker: w"},
+		{"a name of one blank", " : w"},
+		{"a tab in a name", "X\tWorker: w"},
+		{"a tab before a colon", "X-Worker\t: w"},
+		{"a tab before a name", "\tX-Worker: w"},
+		{"a zero byte in a name", "X\x00Worker: w"},
+		{"a control byte in a name", "X\x01Worker: w"},
+		{"a control byte before a name", "\x01X-Worker: w"},
+		{"a carriage return in a name", "X\rWorker: w"},
+		{"a delete byte in a name", "X\x7fWorker: w"},
+		{"a byte beyond ASCII in a name", "X\xe9Worker: w"},
+		{"a parenthesis in a name", "X(Worker): w"},
+		{"an empty name", ": w"},
+		{"no colon", "X-Worker"},
+		{"a folded value", "X-Worker: w\r\n w"},
+		{"a zero byte in a value", "X-Worker: w\x00"},
+		{"a control byte in a value", "X-Worker: w\x01"},
+		{"a carriage return in a value", "X-Worker: w\rw"},
+		{"a delete byte in a value", "X-Worker: w\x7f"},
+	} {
+		invalid = append(invalid, Response{line.Name, status + fields + line.Text + "\r\n" + length + end})
+	}
+	return invalid
+}
+
 // ValidResponses returns responses to a request for a body that a parser may take for
 // invalid ones. All have the given fields, each with its line end.
 func ValidResponses(fields, body string) []Response {
--- a/internal/target/brokenhead_test.go
+++ b/internal/target/brokenhead_test.go
@@ -87,6 +87,10 @@
 	testInvalidHeads(t, platformtest.InvalidStatusLines)
 }
 
+// Guards against a response with an invalid field line that passes for an answer of the
+// target, or whose body is taken from the wrong bytes.
+func TestInvalidFieldsAreErrors(t *testing.T) { testInvalidHeads(t, platformtest.InvalidFields) }
+
 // Guards against a check of heads that loses valid responses.
 func TestUnusualHeadsAreAnswers(t *testing.T) {
 	for _, e := range exchanges() {
