--- a/entry/brokenhead_test.go
+++ b/entry/brokenhead_test.go
@@ -160,6 +160,11 @@
 // that is not the target's because of such a line.
 func TestInvalidFieldsReachNoCaller(t *testing.T) { testInvalidHeads(t, platformtest.InvalidFields) }
 
+// Guards against a caller that gets the bytes of a target's chunks as the body.
+func TestInvalidFramingReachesNoCaller(t *testing.T) {
+	testInvalidHeads(t, platformtest.InvalidFraming)
+}
+
 // Guards against a check of heads that loses valid responses.
 func TestUnusualHeadsReachCallers(t *testing.T) {
 	convey.Convey("Given targets that send a valid response, callers get it", t, func() {
--- a/internal/httpclient/headcheck_test.go
+++ b/internal/httpclient/headcheck_test.go
@@ -133,6 +133,13 @@
 	})
 }
 
+// Guards against the bytes of chunks that pass for a body.
+func TestInvalidFraming(t *testing.T) {
+	convey.Convey("A response that contradicts itself about the end of its body is an error", t, func() {
+		convey.So(testHeads(t, platformtest.InvalidFraming(soundFields, soundBody), isError), convey.ShouldBeEmpty)
+	})
+}
+
 // Guards against a check of heads that loses valid responses.
 func TestUnusualHeads(t *testing.T) {
 	convey.Convey("A valid response is one", t, func() {
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -20,11 +20,20 @@
 // length of the head.
 type Checker struct {
 	// line is the beginning of a line whose end has not been received.
-	line []byte
-	// status is the status code of the current head, 0 before its status line has ended.
+	line  []byte
+	head  headState
+	valid bool
+	err   error
+}
+
+// headState is what was received of one head.
+type headState struct {
+	// status is 0 before the status line has ended.
 	status int
-	valid  bool
-	err    error
+	// isHTTP10 is set for version HTTP/1.0.
+	isHTTP10 bool
+	// hasCoding is set after a field Transfer-Encoding, hasLength after Content-Length.
+	hasCoding, hasLength bool
 }
 
 // Check checks the next bytes of a response. It ignores those after the head. It returns an
@@ -50,37 +59,21 @@
 func (c *Checker) Valid() bool { return c.valid }
 
 func (c *Checker) checkLine(line []byte) error {
-	var err error
 	switch {
-	case c.status == 0:
-		c.status, err = parseStatusLine(line)
-	case len(line) == 0:
-		c.endHead()
-	default:
-		err = checkField(line)
+	case c.head.status == 0:
+		return c.head.checkStatusLine(line)
+	case len(line) > 0:
+		return c.head.checkField(line)
 	}
-	return err
-}
-
-// checkField checks a field line. The continuation of a folded line is not valid either: its
-// name holds a blank.
-func checkField(line []byte) error {
-	name, value, ok := bytes.Cut(line, []byte(":"))
-	if !ok || !httpguts.ValidHeaderFieldName(string(name)) {
-		return errors.Wrapf(ErrInvalid, "name of field line %.40q", line)
-	}
-	if !httpguts.ValidHeaderFieldValue(string(value)) {
-		return errors.Wrapf(ErrInvalid, "value of field line %.40q", line)
+	if err := c.head.checkFraming(); err != nil {
+		return err
 	}
+	// Another head follows that of an informational response.
+	c.valid = c.head.status >= http.StatusOK
+	c.head = headState{}
 	return nil
 }
 
-// endHead ends the current head. Another one follows that of an informational response.
-func (c *Checker) endHead() {
-	c.valid = c.status >= http.StatusOK
-	c.status = 0
-}
-
 // Parts of a status line: a version of HTTP/1, a blank and a status code, then a blank and the
 // reason. Widespread servers omit the last blank if there is no reason.
 const (
@@ -89,27 +82,55 @@
 	statusEnd     = statusStart + 3
 )
 
-// parseStatusLine returns the status code of a status line.
-func parseStatusLine(line []byte) (int, error) {
+// maxStatus is the largest valid status code (RFC 9110, section 15).
+const maxStatus = 599
+
+func (h *headState) checkStatusLine(line []byte) error {
 	if len(line) < statusEnd || !bytes.HasPrefix(line, []byte(versionPrefix)) ||
 		!isDigit(line[len(versionPrefix)]) || line[statusStart-1] != ' ' || len(line) > statusEnd && line[statusEnd] != ' ' {
-		return 0, errors.Wrapf(ErrInvalid, "status line %.40q", line)
+		return errors.Wrapf(ErrInvalid, "status line %.40q", line)
 	}
 	if !httpguts.ValidHeaderFieldValue(string(line[statusEnd:])) {
-		return 0, errors.Wrapf(ErrInvalid, "reason %.40q", line[statusEnd:])
+		return errors.Wrapf(ErrInvalid, "reason %.40q", line[statusEnd:])
 	}
 	// A sign is no digit.
 	status, err := strconv.ParseUint(string(line[statusStart:statusEnd]), 10, 0)
 	if err != nil || status < http.StatusContinue || status > maxStatus {
-		return 0, errors.Wrapf(ErrInvalid, "status code %q", line[statusStart:statusEnd])
+		return errors.Wrapf(ErrInvalid, "status code %q", line[statusStart:statusEnd])
 	}
 	if status == http.StatusSwitchingProtocols {
-		return 0, errors.Wrap(ErrInvalid, "status code 101 without a request to switch protocols")
+		return errors.Wrap(ErrInvalid, "status code 101 without a request to switch protocols")
 	}
-	return int(status), nil
+	h.status = int(status)
+	h.isHTTP10 = line[len(versionPrefix)] == '0'
+	return nil
 }
 
-// maxStatus is the largest valid status code (RFC 9110, section 15).
-const maxStatus = 599
-
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
+
+// checkField checks a field line. The continuation of a folded line is not valid either: its
+// name holds a blank.
+func (h *headState) checkField(line []byte) error {
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	if !ok || !httpguts.ValidHeaderFieldName(string(name)) {
+		return errors.Wrapf(ErrInvalid, "name of field line %.40q", line)
+	}
+	if !httpguts.ValidHeaderFieldValue(string(value)) {
+		return errors.Wrapf(ErrInvalid, "value of field line %.40q", line)
+	}
+	h.hasCoding = h.hasCoding || bytes.EqualFold(name, []byte("Transfer-Encoding"))
+	h.hasLength = h.hasLength || bytes.EqualFold(name, []byte("Content-Length"))
+	return nil
+}
+
+// checkFraming checks that the head states in one way where the body ends (RFC 9112, section
+// 6.1). The values of the fields are left to net/http.
+func (h *headState) checkFraming() error {
+	switch {
+	case h.hasCoding && h.isHTTP10:
+		return errors.Wrap(ErrInvalid, "transfer coding in HTTP/1.0")
+	case h.hasCoding && h.hasLength:
+		return errors.Wrap(ErrInvalid, "both a transfer coding and a length")
+	}
+	return nil
+}
--- a/internal/httphead/httphead_test.go
+++ b/internal/httphead/httphead_test.go
@@ -1,6 +1,9 @@
 package httphead
 
 import (
+	"bufio"
+	"bytes"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -66,6 +69,25 @@
 	})
 }
 
+func TestInvalidFraming(t *testing.T) {
+	convey.Convey("Heads that contradict themselves about the end of the body are not valid", t, func() {
+		for _, version := range []string{"1.0", "1.1", "1.2"} {
+			for _, fields := range []string{"", "Content-Length: 5\r\n", "transfer-encoding: chunked\r\n", "TRANSFER-ENCODING: chunked\r\ncontent-length: 5\r\n"} {
+				text := "HTTP/" + version + " 200 OK\r\n" + fields + "\r\n"
+				coded := strings.Contains(strings.ToLower(fields), "transfer")
+				want := !coded || version != "1.0" && !strings.Contains(fields, "length")
+				c, _ := checkPieces(text, len(text))
+				convey.So(c.Valid(), convey.ShouldEqual, want)
+			}
+		}
+	})
+	convey.Convey("Each head is checked by itself", t, func() {
+		const text = "HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		c, _ := checkPieces(text, len(text))
+		convey.So(c.Valid(), convey.ShouldBeTrue)
+	})
+}
+
 func TestValidHeads(t *testing.T) {
 	convey.Convey("Unusual heads are valid", t, func() {
 		convey.So(wrongVerdicts(platformtest.ValidResponses(testFields, testBody), true), convey.ShouldBeEmpty)
@@ -94,3 +116,46 @@
 		convey.So(c.Valid(), convey.ShouldBeFalse)
 	})
 }
+
+// FuzzChecker guards against a head that passes the check although net/http takes it for
+// another response than the check, or changes it on the way to a client.
+func FuzzChecker(f *testing.F) {
+	for _, responses := range [][]platformtest.Response{
+		platformtest.InvalidStatusLines(testFields, testBody), platformtest.InvalidFields(testFields, testBody),
+		platformtest.InvalidFraming(testFields, testBody), platformtest.ValidResponses(testFields, testBody),
+	} {
+		for _, r := range responses {
+			f.Add(r.Text)
+		}
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		whole, _ := checkPieces(text, max(len(text), 1))
+		pieces, _ := checkPieces(text, 1)
+		if whole.Valid() != pieces.Valid() {
+			t.Fatalf("valid: whole %t, byte by byte %t", whole.Valid(), pieces.Valid())
+		}
+		if !whole.Valid() {
+			return
+		}
+		reader := bufio.NewReader(strings.NewReader(text))
+		for {
+			resp, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				// For example an invalid length, which net/http rejects.
+				return
+			}
+			if resp.StatusCode < 100 || resp.StatusCode > 599 || resp.ProtoMajor != 1 {
+				t.Fatalf("%s %d is valid", resp.Proto, resp.StatusCode)
+			}
+			for name, values := range resp.Header {
+				var out bytes.Buffer
+				if err := (http.Header{name: values}).Write(&out); err != nil || bytes.Count(out.Bytes(), []byte("\n")) != len(values) {
+					t.Fatalf("field %q: %q is not passed on unchanged", name, values)
+				}
+			}
+			if resp.StatusCode >= 200 {
+				return
+			}
+		}
+	})
+}
--- a/internal/platformtest/heads.go
+++ b/internal/platformtest/heads.go
@@ -80,6 +80,24 @@
 	return invalid
 }
 
+// InvalidFraming returns responses to a request for a body whose heads contradict
+// themselves about the end of the body. All have the given fields, each with its line end.
+func InvalidFraming(fields, body string) []Response {
+	const status, chunked = "HTTP/1.1 200 OK\r\n", "Transfer-Encoding: chunked\r\n"
+	chunks := "\r\n" + strconv.FormatInt(int64(len(body)), 16) + "\r\n" + body + "\r\n0\r\n\r\n"
+	return []Response{
+		{"chunks of HTTP/1.0", "HTTP/1.0 200 OK\r\n" + fields + chunked + chunks},
+		{"a length and chunks", status + fields + contentLength(body) + chunked + chunks},
+		{"chunks and a length", status + fields + chunked + contentLength(body) + chunks},
+		{"chunks twice", status + fields + chunked + chunked + chunks},
+		{"an unknown transfer coding", status + fields + "Transfer-Encoding: zip\r\n" + chunks},
+		{"two lengths", status + fields + contentLength(body) + contentLength(body+"x") + "\r\n" + body},
+		{"a negative length", status + fields + "Content-Length: -1\r\n\r\n" + body},
+		{"a length with a sign", status + fields + "Content-Length: +" + strconv.Itoa(len(body)) + "\r\n\r\n" + body},
+		{"a length without a number", status + fields + "Content-Length:\r\n\r\n" + body},
+	}
+}
+
 // ValidResponses returns responses to a request for a body that a parser may take for
 // invalid ones. All have the given fields, each with its line end.
 func ValidResponses(fields, body string) []Response {
--- a/internal/target/brokenhead_test.go
+++ b/internal/target/brokenhead_test.go
@@ -91,6 +91,9 @@
 // target, or whose body is taken from the wrong bytes.
 func TestInvalidFieldsAreErrors(t *testing.T) { testInvalidHeads(t, platformtest.InvalidFields) }
 
+// Guards against the bytes of chunks that pass for a body.
+func TestInvalidFramingIsAnError(t *testing.T) { testInvalidHeads(t, platformtest.InvalidFraming) }
+
 // Guards against a check of heads that loses valid responses.
 func TestUnusualHeadsAreAnswers(t *testing.T) {
 	for _, e := range exchanges() {
