--- a/entry/once.go
+++ b/entry/once.go
@@ -197,7 +197,11 @@
 	if outcome.Dropped {
 		return failRound(result.New(result.OutcomeUnknown, result.RanYes, "the call ran; its answer was too large to keep"))
 	}
-	return roundResult{reply: &peer.Reply{Status: outcome.Status, Header: outcome.Header, Body: outcome.Body}}
+	reply := &peer.Reply{Status: outcome.Status, Header: outcome.Header, Body: outcome.Body}
+	if reply.CheckHead() != nil {
+		return failRound(result.New(result.OutcomeUnknown, result.RanYes, "the call ran; its answer is not valid"))
+	}
+	return roundResult{reply: reply}
 }
 
 // resultFromOutcome returns the result for the outcome that an agent reports.
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -82,6 +82,20 @@
 	statusEnd     = statusStart + 3
 )
 
+// CheckParsed checks the status code and the fields of the final response in a message of
+// another format.
+func CheckParsed(status int, fields map[string]string) error {
+	if status < http.StatusOK || status > maxStatus {
+		return errors.Wrapf(ErrInvalid, "status code %d", status)
+	}
+	for name, value := range fields {
+		if !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
+			return errors.Wrapf(ErrInvalid, "field %.40q: %.40q", name, value)
+		}
+	}
+	return nil
+}
+
 // maxStatus is the largest valid status code (RFC 9110, section 15).
 const maxStatus = 599
 
--- a/peer/atmostonce.go
+++ b/peer/atmostonce.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/quetzalglade/quetzalglade/quarantine"
 )
 
@@ -69,8 +71,15 @@
 // Outcome requests the outcome of a call from an agent.
 func (c *Client) Outcome(ctx context.Context, addr string, q OutcomeQuery) (Outcome, error) {
 	var out Outcome
-	err := c.exchange(ctx, http.MethodPost, addr, PathOutcome, q, &out)
-	return out, err
+	if err := c.exchange(ctx, http.MethodPost, addr, PathOutcome, q, &out); err != nil {
+		return Outcome{}, err
+	}
+	if out.Reply != nil {
+		if err := out.Reply.CheckHead(); err != nil {
+			return Outcome{}, errors.Wrap(err, "outcome of a call")
+		}
+	}
+	return out, nil
 }
 
 // SendMarks sends quarantine marks to an entry.
--- a/peer/client.go
+++ b/peer/client.go
@@ -111,6 +111,9 @@
 	if err := c.exchange(ctx, http.MethodPost, addr, PathCalls, call, &reply); err != nil {
 		return nil, err
 	}
+	if err := reply.CheckHead(); err != nil {
+		return nil, errors.Wrap(err, "reply to a call")
+	}
 	return &reply, nil
 }
 
--- a/peer/message.go
+++ b/peer/message.go
@@ -7,6 +7,7 @@
 import (
 	"strings"
 
+	"github.com/quetzalglade/quetzalglade/internal/httphead"
 	"github.com/quetzalglade/quetzalglade/quarantine"
 	"github.com/quetzalglade/quetzalglade/result"
 )
@@ -173,6 +174,15 @@
 	Load   *Load             `json:"load,omitempty"`
 }
 
+// CheckHead returns an error, with cause httphead.ErrInvalid, for a reply that holds neither an
+// error nor the head of a response.
+func (r *Reply) CheckHead() error {
+	if r.Error != nil {
+		return nil
+	}
+	return httphead.CheckParsed(r.Status, r.Header)
+}
+
 // Revoke withdraws an attempt, a call or a reservation, which may not have arrived
 // yet.
 type Revoke struct {
