--- a/internal/httpclient/headcheck.go
+++ b/internal/httpclient/headcheck.go
@@ -16,15 +16,23 @@
 type headConn struct {
 	net.Conn
 
-	mu   sync.Mutex
-	head httphead.Checker
+	mu sync.Mutex
+	// head checks the current response.
+	head *httphead.Checker
 }
 
-// expectHead makes the next data that is read the head of a response.
-func (c *headConn) expectHead() {
+// expectHead makes the next data that is read the head of a response. The returned function
+// reports whether that head was received and is valid, also after the next expectHead.
+func (c *headConn) expectHead() (isValid func() bool) {
+	head := &httphead.Checker{}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.head = httphead.Checker{}
+	c.head = head
+	return func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return head.Valid()
+	}
 }
 
 func (c *headConn) check(p []byte) error {
@@ -33,12 +41,6 @@
 	return c.head.Check(p)
 }
 
-func (c *headConn) hasValidHead() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.head.Valid()
-}
-
 // Read implements net.Conn. After an invalid head it only returns the error.
 func (c *headConn) Read(p []byte) (int, error) {
 	if err := c.check(nil); err != nil {
@@ -58,25 +60,31 @@
 // RoundTrip implements http.RoundTripper. A response whose head is not valid by HTTP/1.1 is an
 // error.
 func (t headTransport) RoundTrip(req *http.Request) (*http.Response, error) {
-	var used atomic.Pointer[headConn]
+	var current atomic.Pointer[exchange]
 	// The transport calls GotConn before it writes the request, when it has read all of the
 	// response to the connection's last request.
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if conn, ok := info.Conn.(*headConn); ok {
-			conn.expectHead()
-			used.Store(conn)
+			current.Store(&exchange{conn: conn, hasValidHead: conn.expectHead()})
 		}
 	}}
 	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
-	if conn := used.Load(); conn == nil || !conn.hasValidHead() {
+	// The connection may be in use for another request already if the response has no body.
+	if e := current.Load(); e == nil || !e.hasValidHead() {
 		_ = resp.Body.Close()
-		if conn != nil {
-			_ = conn.Close()
+		if e != nil {
+			_ = e.conn.Close()
 		}
 		return nil, errors.Wrap(httphead.ErrInvalid, "a part of the head arrived before the connection was chosen")
 	}
 	return resp, nil
 }
+
+// exchange is one request and its response on a connection.
+type exchange struct {
+	conn         *headConn
+	hasValidHead func() bool
+}
--- a/internal/httpclient/headcheck_test.go
+++ b/internal/httpclient/headcheck_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -178,3 +179,29 @@
 		convey.So(opened.Load(), convey.ShouldEqual, 1)
 	})
 }
+
+// Guards against a request whose response is judged by the head of the next one: a connection
+// may be in use again before the response without a body is returned.
+func TestConcurrentRequestsKeepTheirHeads(t *testing.T) {
+	convey.Convey("Concurrent requests with empty responses succeed", t, func() {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }))
+		defer server.Close()
+		client := New(Options{IdlePerHost: 2})
+		var failed atomic.Int64
+		var wg sync.WaitGroup
+		for range 32 {
+			wg.Go(func() {
+				for range 200 {
+					resp, err := SendJSON(context.Background(), client, http.MethodPost, server.URL, "x")
+					if err != nil {
+						failed.Add(1)
+						continue
+					}
+					CloseBody(resp)
+				}
+			})
+		}
+		wg.Wait()
+		convey.So(failed.Load(), convey.ShouldEqual, 0)
+	})
+}
--- a/internal/httpclient/httpclient.go
+++ b/internal/httpclient/httpclient.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalglade/quetzalglade/internal/httphead"
 )
 
 // Timeouts and periods of every client's connections.
@@ -72,7 +74,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &headConn{Conn: conn}, nil
+		return &headConn{Conn: conn, head: &httphead.Checker{}}, nil
 	}
 }
 
