--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -74,14 +74,6 @@
 	return nil
 }
 
-// Parts of a status line: a version of HTTP/1, a blank and a status code, then a blank and the
-// reason. Widespread servers omit the last blank if there is no reason.
-const (
-	versionPrefix = "HTTP/1."
-	statusStart   = len(versionPrefix) + 2
-	statusEnd     = statusStart + 3
-)
-
 // CheckParsed checks the status code and the fields of the final response in a message of
 // another format.
 func CheckParsed(status int, fields map[string]string) error {
@@ -96,6 +88,14 @@
 	return nil
 }
 
+// Parts of a status line: a version of HTTP/1, a space and a status code, then a space and the
+// reason phrase. Widespread servers omit the second space if the phrase is empty.
+const (
+	versionPrefix = "HTTP/1."
+	statusStart   = len(versionPrefix) + 2
+	statusEnd     = statusStart + 3
+)
+
 // maxStatus is the largest valid status code (RFC 9110, section 15).
 const maxStatus = 599
 
@@ -105,7 +105,7 @@
 		return errors.Wrapf(ErrInvalid, "status line %.40q", line)
 	}
 	if !httpguts.ValidHeaderFieldValue(string(line[statusEnd:])) {
-		return errors.Wrapf(ErrInvalid, "reason %.40q", line[statusEnd:])
+		return errors.Wrapf(ErrInvalid, "reason phrase %.40q", line[statusEnd:])
 	}
 	// A sign is no digit.
 	status, err := strconv.ParseUint(string(line[statusStart:statusEnd]), 10, 0)
@@ -122,8 +122,8 @@
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
 
-// checkField checks a field line. The continuation of a folded line is not valid either: its
-// name holds a blank.
+// checkField checks a field line. A folded line (obs-fold) is not valid either: its
+// continuation has a space where a name starts.
 func (h *headState) checkField(line []byte) error {
 	name, value, ok := bytes.Cut(line, []byte(":"))
 	if !ok || !httpguts.ValidHeaderFieldName(string(name)) {
