--- a/internal/httpclient/users_test.go
+++ b/internal/httpclient/users_test.go
@@ -127,11 +127,14 @@
 			defer cancel()
 			var text atomic.Value
 			addr := serveText(t, &text)
-			text.Store(platformtest.ValidResponses(u.fields, u.body)[0].Text)
+			// The server closes the connection after the response. A client that is not told so
+			// may send the next request on it.
+			fields := u.fields + "Connection: close\r\n"
+			text.Store(platformtest.ValidResponses(fields, u.body)[0].Text)
 			convey.So(u.do(ctx, addr), convey.ShouldBeNil)
 			var accepted []string
 			for _, responses := range [][]platformtest.Response{
-				platformtest.InvalidStatusLines(u.fields, u.body), platformtest.InvalidFields(u.fields, u.body), platformtest.InvalidFraming(u.fields, u.body),
+				platformtest.InvalidStatusLines(fields, u.body), platformtest.InvalidFields(fields, u.body), platformtest.InvalidFraming(fields, u.body),
 			} {
 				for _, r := range responses {
 					text.Store(r.Text)
--- a/internal/target/brokenhead_test.go
+++ b/internal/target/brokenhead_test.go
@@ -14,8 +14,11 @@
 	"github.com/quetzalglade/quetzalglade/internal/platformtest"
 )
 
-// Bodies of the responses with special heads.
+// Fields and bodies of the responses with special heads.
 const (
+	// The server closes the connection after the response. A client that is not told so may
+	// send the next request on it.
+	headFields = "Content-Type: text/plain\r\nConnection: close\r\n"
 	callBody   = "hello"
 	modelsBody = `{"data":[{"id":"m1"}]}`
 	loadBody   = "# TYPE engine_requests_running gauge\nengine_requests_running 1\n"
@@ -68,7 +71,7 @@
 			var text atomic.Value
 			url := serveText(t, &text)
 			var accepted []string
-			for _, r := range invalid("Content-Type: text/plain\r\n", e.body) {
+			for _, r := range invalid(headFields, e.body) {
 				text.Store(r.Text)
 				err := e.do(url)
 				var refused *RefusedError
@@ -101,7 +104,7 @@
 			var text atomic.Value
 			url := serveText(t, &text)
 			var lost []string
-			for _, r := range platformtest.ValidResponses("Content-Type: text/plain\r\n", e.body) {
+			for _, r := range platformtest.ValidResponses(headFields, e.body) {
 				// Calls alone take any status.
 				if e.name != "call" && strings.Contains(r.Text, " 299 ") {
 					continue
