--- a/internal/httpwire/conn_test.go
+++ b/internal/httpwire/conn_test.go
@@ -9,7 +9,10 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/quetzalglade/quetzalglade/internal/httphead"
 )
 
 // endlessBytes bounds what the peer of a test sends if the client never stops reading.
@@ -74,6 +77,35 @@
 	}
 }
 
+// Guards against an invalid head that is not checked because it was read together with the
+// response before it.
+func TestBufferedHeadIsChecked(t *testing.T) {
+	heads := map[string]string{
+		"status":                "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nno",
+		"status, then a valid":  "HTTP/1.1 000 OK\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno",
+		"field":                 "HTTP/1.1 200 OK\r\nX Worker: w\r\nContent-Length: 2\r\n\r\nno",
+		"informational, framed": "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+	}
+	for name, head := range heads {
+		Convey("An invalid head behind a response: "+name, t, func() {
+			client, server := net.Pipe()
+			conn := &Conn{net: client, input: &headReader{r: client}}
+			conn.reader = bufio.NewReader(conn.input)
+			go func() {
+				_, _ = fmt.Fprint(server, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"+head)
+				_ = server.Close()
+			}()
+			resp, err := conn.Receive(http.MethodGet)
+			So(err, ShouldBeNil)
+			_, err = ReadBody(resp.Body, 10)
+			So(err, ShouldBeNil)
+			So(conn.Buffered(), ShouldEqual, len(head))
+			_, err = conn.Receive(http.MethodGet)
+			So(errors.Is(err, httphead.ErrInvalid), ShouldBeTrue)
+		})
+	}
+}
+
 // TestAwaitLeavesTheConnectionUsable guards against a wait that loses data, or after which
 // the connection cannot be read any more.
 func TestAwaitLeavesTheConnectionUsable(t *testing.T) {
