--- a/entry/badinput_test.go
+++ b/entry/badinput_test.go
@@ -28,7 +28,7 @@
 
 func startFleet(t *testing.T) *demo.Fleet { return startFleetWith(t, nil) }
 
-// startFleetWith starts a fleet whose agents have changed options.
+// startFleetWith starts a fleet and applies adjustAgent, if not nil, to the options of each agent.
 func startFleetWith(t *testing.T, adjustAgent func(*agent.Options)) *demo.Fleet {
 	t.Helper()
 	engine := standin.DefaultEngineOptions()
--- a/entry/brokenhead_test.go
+++ b/entry/brokenhead_test.go
@@ -19,8 +19,8 @@
 	"github.com/quetzalglade/quetzalglade/result"
 )
 
-// rawTarget sends raw in response to calls, completions and resumed completions, and passes
-// all other requests, and all if raw is empty, to the engine or service behind it.
+// rawTarget is a proxy in front of an engine or a service. If raw is not empty, it sends raw in
+// response to calls and completions instead of forwarding them.
 type rawTarget struct {
 	*httptest.Server
 	raw atomic.Pointer[string]
@@ -75,8 +75,7 @@
 	return f.EntryURLs[0], service, engine
 }
 
-// Fields and bodies of the responses with special heads. Callers must not get the body of an
-// invalid one.
+// Fields and bodies of the responses that the targets send.
 const (
 	callFields   = "Content-Type: text/plain\r\n"
 	callBody     = "hello, HTTP/1.1 000"
@@ -85,7 +84,7 @@
 		"data: {\"choices\":[{\"finish_reason\":\"stop\"}],\"usage\":{\"prompt_tokens\":1,\"completion_tokens\":1}}\n\ndata: [DONE]\n\n"
 )
 
-// headCase is a response to a kind of request.
+// headCase is a request and the response that its target sends.
 type headCase struct {
 	name, method, path, body string
 	header                   []string
@@ -150,8 +149,8 @@
 	})
 }
 
-// Guards against a caller that gets a response whose status is no status, such as 000, or
-// the bytes after it as another response.
+// Guards against a caller that gets a response with an invalid status such as 000, or the bytes
+// after its head as another response.
 func TestInvalidStatusLinesReachNoCaller(t *testing.T) {
 	testInvalidHeads(t, platformtest.InvalidStatusLines)
 }
@@ -160,12 +159,12 @@
 // that is not the target's because of such a line.
 func TestInvalidFieldsReachNoCaller(t *testing.T) { testInvalidHeads(t, platformtest.InvalidFields) }
 
-// Guards against a caller that gets the bytes of a target's chunks as the body.
+// Guards against a caller that gets the framing of chunks as a part of the body.
 func TestInvalidFramingReachesNoCaller(t *testing.T) {
 	testInvalidHeads(t, platformtest.InvalidFraming)
 }
 
-// Guards against a check of heads that loses valid responses.
+// Guards against the rejection of valid but unusual heads.
 func TestUnusualHeadsReachCallers(t *testing.T) {
 	convey.Convey("Given targets that send a valid response, callers get it", t, func() {
 		entryURL, service, engine := startRawFleet(t)
--- a/internal/httpclient/headcheck.go
+++ b/internal/httpclient/headcheck.go
@@ -72,7 +72,8 @@
 	if err != nil {
 		return nil, err
 	}
-	// The connection may be in use for another request already if the response has no body.
+	// Not the current check of the connection: after a response without a body, another request
+	// may already use the connection.
 	if e := current.Load(); e == nil || !e.hasValidHead() {
 		_ = resp.Body.Close()
 		if e != nil {
@@ -83,7 +84,7 @@
 	return resp, nil
 }
 
-// exchange is one request and its response on a connection.
+// exchange is the connection of a request and the result of the check of its response.
 type exchange struct {
 	conn         *headConn
 	hasValidHead func() bool
--- a/internal/httpclient/headcheck_test.go
+++ b/internal/httpclient/headcheck_test.go
@@ -25,8 +25,8 @@
 	soundBody   = "hello"
 )
 
-// serveTexts serves texts on the connections of l: on each of them, text first, repeated
-// responses times, and then last.
+// serveTexts responds on each connection of l with first to as many requests as times states,
+// then with last, and closes the connection.
 func serveTexts(l net.Listener, first string, times int, last string) {
 	for {
 		c, err := l.Accept()
@@ -54,8 +54,8 @@
 	}
 }
 
-// exchangeTexts sends a request for each response of a server, and returns the body of the last
-// response or the error that it ends with.
+// exchangeTexts sends times+1 requests to a server of serveTexts. It returns the body of the
+// last response, or the first error.
 func exchangeTexts(t *testing.T, secure bool, first string, times int, last string) (string, error) {
 	t.Helper()
 	var l net.Listener
@@ -95,8 +95,8 @@
 	return string(body), nil
 }
 
-// testHeads calls judge for the result of each response as the first and a later one of a
-// connection, without and with TLS.
+// testHeads receives each response as the first and as the third of a connection, without and
+// with TLS, and returns the names of those whose result judge rejects.
 func testHeads(t *testing.T, responses []platformtest.Response, judge func(body string, err error) bool) (wrong []string) {
 	t.Helper()
 	sound := platformtest.ValidResponses(soundFields, soundBody)[0].Text
@@ -114,8 +114,7 @@
 
 func isError(_ string, err error) bool { return err != nil }
 
-// Guards against a response to a process of the fleet, or to the store, whose status is no
-// status, such as 000, and that passes for an answer.
+// Guards against a response with an invalid status such as 000 that is taken for an answer.
 func TestInvalidStatusLines(t *testing.T) {
 	convey.Convey("A response with an invalid status line is an error", t, func() {
 		convey.So(testHeads(t, platformtest.InvalidStatusLines(soundFields, soundBody), isError), convey.ShouldBeEmpty)
@@ -126,22 +125,22 @@
 	})
 }
 
-// Guards against a response to a process of the fleet, or to the store, with an invalid field
-// line, or whose body is taken from the wrong bytes because of such a line.
+// Guards against a response with an invalid field line that is taken for an answer, or whose
+// body is read with the wrong framing.
 func TestInvalidFields(t *testing.T) {
 	convey.Convey("A response with an invalid field line is an error", t, func() {
 		convey.So(testHeads(t, platformtest.InvalidFields(soundFields, soundBody), isError), convey.ShouldBeEmpty)
 	})
 }
 
-// Guards against the bytes of chunks that pass for a body.
+// Guards against the framing of chunks that is taken for a part of the body.
 func TestInvalidFraming(t *testing.T) {
 	convey.Convey("A response that contradicts itself about the end of its body is an error", t, func() {
 		convey.So(testHeads(t, platformtest.InvalidFraming(soundFields, soundBody), isError), convey.ShouldBeEmpty)
 	})
 }
 
-// Guards against a check of heads that loses valid responses.
+// Guards against the rejection of valid but unusual heads.
 func TestUnusualHeads(t *testing.T) {
 	convey.Convey("A valid response is one", t, func() {
 		convey.So(testHeads(t, platformtest.ValidResponses(soundFields, soundBody), func(body string, err error) bool {
@@ -150,7 +149,7 @@
 	})
 }
 
-// Guards against a check that takes a body on a connection that is used again for a head.
+// Guards against a body on a reused connection that is checked like a head.
 func TestEachHeadOfAConnectionIsChecked(t *testing.T) {
 	convey.Convey("Bodies that look like invalid heads pass, many on one connection", t, func() {
 		var opened atomic.Int64
@@ -180,8 +179,8 @@
 	})
 }
 
-// Guards against a request whose response is judged by the head of the next one: a connection
-// may be in use again before the response without a body is returned.
+// Guards against a request that fails because another one already uses its connection: the
+// transport reuses a connection before it returns a response without a body.
 func TestConcurrentRequestsKeepTheirHeads(t *testing.T) {
 	convey.Convey("Concurrent requests with empty responses succeed", t, func() {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }))
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -15,9 +15,9 @@
 // ErrInvalid is the cause of the errors for heads that are not valid by HTTP/1.1.
 var ErrInvalid = errors.New("response head is not valid by HTTP/1.1")
 
-// Checker checks the head of one response, with the informational responses before it. The
-// zero value waits for the first byte. A Checker keeps at most one line; the caller limits the
-// length of the head.
+// Checker checks the head of a final response and the heads of the informational responses
+// before it. The zero value is ready to use. A Checker buffers one line at most and has no size
+// limit of its own: the reader of the response limits the length of the head.
 type Checker struct {
 	// line is the beginning of a line whose end has not been received.
 	line  []byte
@@ -32,7 +32,7 @@
 	status int
 	// isHTTP10 is set for version HTTP/1.0.
 	isHTTP10 bool
-	// hasCoding is set after a field Transfer-Encoding, hasLength after Content-Length.
+	// hasCoding and hasLength are set if the head has a Transfer-Encoding or a Content-Length.
 	hasCoding, hasLength bool
 }
 
@@ -107,7 +107,7 @@
 	if !httpguts.ValidHeaderFieldValue(string(line[statusEnd:])) {
 		return errors.Wrapf(ErrInvalid, "reason phrase %.40q", line[statusEnd:])
 	}
-	// A sign is no digit.
+	// Unlike Atoi, ParseUint accepts no sign.
 	status, err := strconv.ParseUint(string(line[statusStart:statusEnd]), 10, 0)
 	if err != nil || status < http.StatusContinue || status > maxStatus {
 		return errors.Wrapf(ErrInvalid, "status code %q", line[statusStart:statusEnd])
--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -96,7 +96,7 @@
 
 func (h *headReader) end() { h.receiving = false }
 
-// check checks data of a head. An error ends the reads.
+// check examines data of the current head. After an error, all reads fail.
 func (h *headReader) check(p []byte) error {
 	err := h.head.Check(p)
 	if err != nil {
--- a/internal/platformtest/heads.go
+++ b/internal/platformtest/heads.go
@@ -1,15 +1,19 @@
 package platformtest
 
 import (
+	"bufio"
+	"net"
+	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 )
 
 // Response is the text of an HTTP response with a name for tests.
 type Response struct{ Name, Text string }
 
-// InvalidStatusLines returns responses to a request for a body whose status line is not
-// valid by HTTP/1.1. All have the given fields, each terminated by CRLF, and a length.
+// InvalidStatusLines returns responses with a status line that HTTP/1.1 does not allow.
+// fields are further field lines, each terminated by CRLF; body follows the head.
 func InvalidStatusLines(fields, body string) []Response {
 	rest := fields + contentLength(body) + "\r\n" + body
 	sound := "HTTP/1.1 200 OK\r\n" + rest
@@ -39,8 +43,8 @@
 	}
 }
 
-// InvalidFields returns responses to a request for a body that have a field line which is
-// not valid by HTTP/1.1. All have the given fields, each terminated by CRLF, too.
+// InvalidFields returns responses with a field line that HTTP/1.1 does not allow. For fields
+// and body, see InvalidStatusLines.
 func InvalidFields(fields, body string) []Response {
 	const status = "HTTP/1.1 200 OK\r\n"
 	length, end := contentLength(body), "\r\n"+body
@@ -80,8 +84,8 @@
 	return invalid
 }
 
-// InvalidFraming returns responses to a request for a body whose heads contradict
-// themselves about the end of the body. All have the given fields, each terminated by CRLF.
+// InvalidFraming returns responses whose Content-Length and Transfer-Encoding fields do not
+// state where the body ends. For fields and body, see InvalidStatusLines.
 func InvalidFraming(fields, body string) []Response {
 	const status, chunked = "HTTP/1.1 200 OK\r\n", "Transfer-Encoding: chunked\r\n"
 	chunks := "\r\n" + strconv.FormatInt(int64(len(body)), 16) + "\r\n" + body + "\r\n0\r\n\r\n"
@@ -98,8 +102,8 @@
 	}
 }
 
-// ValidResponses returns responses to a request for a body that a parser may take for
-// invalid ones. All have the given fields, each terminated by CRLF.
+// ValidResponses returns an ordinary response, then unusual ones that HTTP/1.1 allows or that
+// widespread servers send. For fields and body, see InvalidStatusLines.
 func ValidResponses(fields, body string) []Response {
 	const status = "HTTP/1.1 200 OK\r\n"
 	length, end := contentLength(body), "\r\n"+body
@@ -122,4 +126,45 @@
 	}
 }
 
+// AcceptedHeads sends requests with use to a server that responds to each with another invalid
+// head, and returns the names of those for which use returns no error. It returns an error if
+// use fails with an ordinary head. The server closes each connection after its response.
+func AcceptedHeads(fields, body string, use func(addr string) error) ([]string, error) {
+	l := NewListener()
+	defer func() { _ = l.Close() }()
+	var text atomic.Value
+	go serveTexts(l, &text)
+	addr := l.Addr().String()
+	// Without it, a client may send the next request on the connection that the server closes.
+	fields += "Connection: close\r\n"
+	text.Store(ValidResponses(fields, body)[0].Text)
+	if err := use(addr); err != nil {
+		return nil, err
+	}
+	var accepted []string
+	for _, responses := range [][]Response{InvalidStatusLines(fields, body), InvalidFields(fields, body), InvalidFraming(fields, body)} {
+		for _, r := range responses {
+			text.Store(r.Text)
+			if use(addr) == nil {
+				accepted = append(accepted, r.Name)
+			}
+		}
+	}
+	return accepted, nil
+}
+
+// serveTexts reads one request on each connection, sends the current text and closes it.
+func serveTexts(l net.Listener, text *atomic.Value) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = c.Write([]byte(text.Load().(string)))
+		}
+		_ = c.Close()
+	}
+}
+
 func contentLength(body string) string { return "Content-Length: " + strconv.Itoa(len(body)) + "\r\n" }
--- a/internal/target/brokenhead_test.go
+++ b/internal/target/brokenhead_test.go
@@ -14,7 +14,7 @@
 	"github.com/quetzalglade/quetzalglade/internal/platformtest"
 )
 
-// Fields and bodies of the responses with special heads.
+// Fields and bodies of the responses that the targets send.
 const (
 	// The server closes the connection after the response. A client that is not told so may
 	// send the next request on it.
@@ -84,20 +84,19 @@
 	}
 }
 
-// Guards against a response whose status is no status, such as 000, that passes for an
-// answer of the target.
+// Guards against a response with an invalid status such as 000 that is taken for an answer.
 func TestInvalidStatusLinesAreErrors(t *testing.T) {
 	testInvalidHeads(t, platformtest.InvalidStatusLines)
 }
 
-// Guards against a response with an invalid field line that passes for an answer of the
-// target, or whose body is taken from the wrong bytes.
+// Guards against a response with an invalid field line that is taken for an answer, or whose
+// body is read with the wrong framing.
 func TestInvalidFieldsAreErrors(t *testing.T) { testInvalidHeads(t, platformtest.InvalidFields) }
 
-// Guards against the bytes of chunks that pass for a body.
+// Guards against the framing of chunks that is taken for a part of the body.
 func TestInvalidFramingIsAnError(t *testing.T) { testInvalidHeads(t, platformtest.InvalidFraming) }
 
-// Guards against a check of heads that loses valid responses.
+// Guards against the rejection of valid but unusual heads.
 func TestUnusualHeadsAreAnswers(t *testing.T) {
 	for _, e := range exchanges() {
 		convey.Convey("A valid response to a "+e.name, t, func() {
@@ -105,7 +104,7 @@
 			url := serveText(t, &text)
 			var lost []string
 			for _, r := range platformtest.ValidResponses(headFields, e.body) {
-				// Calls alone take any status.
+				// The other requests expect status 200.
 				if e.name != "call" && strings.Contains(r.Text, " 299 ") {
 					continue
 				}
--- a/peer/message.go
+++ b/peer/message.go
@@ -174,8 +174,8 @@
 	Load   *Load             `json:"load,omitempty"`
 }
 
-// CheckHead returns an error, with cause httphead.ErrInvalid, for a reply that holds neither an
-// error nor the head of a response.
+// CheckHead returns an error, with cause httphead.ErrInvalid, if the reply holds no Error and
+// its Status or Header cannot be those of a final HTTP response.
 func (r *Reply) CheckHead() error {
 	if r.Error != nil {
 		return nil
