--- a/internal/platformtest/store.go
+++ b/internal/platformtest/store.go
@@ -6,8 +6,10 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -54,6 +56,8 @@
 	// changed is closed and replaced when a key, the history or the faults change.
 	changed chan struct{}
 	faults  StoreFaults
+	// era is the number of the store's restore that all responses state, 0 for none.
+	era int64
 	// calls holds the number of calls to each path.
 	calls map[string]int
 }
@@ -129,6 +133,55 @@
 	s.notify()
 }
 
+// SetEra sets the era that all responses state from now on; 0, the default, is not stated.
+func (s *Store) SetEra(era int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = era
+}
+
+// StoreCopy is the state of a Store at one time.
+type StoreCopy struct {
+	revision, compacted int64
+	items               map[string]Item
+	history             []Item
+	leases              map[int64]time.Duration
+}
+
+// Copy returns the store's state.
+func (s *Store) Copy() *StoreCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &StoreCopy{
+		revision: s.revision, compacted: s.compacted,
+		items: maps.Clone(s.items), history: slices.Clone(s.history), leases: maps.Clone(s.leases),
+	}
+}
+
+// Restore replaces the store's state by that of a copy and closes all connections. All
+// changes since then are lost, their revisions and leases are given out again. If the
+// responses state an era, it rises by one.
+func (s *Store) Restore(c *StoreCopy) {
+	s.mu.Lock()
+	s.revision, s.compacted = c.revision, c.compacted
+	s.items, s.history, s.leases = maps.Clone(c.items), slices.Clone(c.history), maps.Clone(c.leases)
+	if s.era > 0 {
+		s.era++
+	}
+	s.notify()
+	s.mu.Unlock()
+	s.server.CloseClientConnections()
+}
+
+// Items returns the items under a prefix by key.
+func (s *Store) Items(prefix string) map[string]Item {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := maps.Clone(s.items)
+	maps.DeleteFunc(out, func(key string, _ Item) bool { return !strings.HasPrefix(key, prefix) })
+	return out
+}
+
 // put writes a key at the current revision. The caller holds s.mu.
 func (s *Store) put(key string, value []byte, lease int64) {
 	item := Item{Key: key, Value: value, Revision: s.revision, Created: s.revision, Lease: lease}
@@ -156,6 +209,7 @@
 		s.mu.Lock()
 		s.calls[r.URL.Path]++
 		f := s.faults
+		s.stateEra(w)
 		s.mu.Unlock()
 		switch {
 		case f.Unresponsive:
@@ -173,6 +227,13 @@
 	})
 }
 
+// stateEra sets the header that states the store's era. The caller holds s.mu.
+func (s *Store) stateEra(w http.ResponseWriter) {
+	if s.era > 0 {
+		w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
+	}
+}
+
 func respond(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -182,6 +243,7 @@
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stateEra(w)
 	item, ok := s.items[r.URL.Query().Get("key")]
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
@@ -193,6 +255,7 @@
 func (s *Store) list(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stateEra(w)
 	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
 	var matches []Item
 	for key, item := range s.items {
@@ -213,9 +276,10 @@
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		events, revision, changed, isCompacted := s.changesAfter(q.Get("prefix"), after), s.revision, s.changed, after < s.compacted
+		events, revision, changed, isGone := s.changesAfter(q.Get("prefix"), after), s.revision, s.changed, after < s.compacted || after > s.revision
+		s.stateEra(w)
 		s.mu.Unlock()
-		if isCompacted {
+		if isGone {
 			w.WriteHeader(http.StatusGone)
 			return
 		}
@@ -256,6 +320,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stateEra(w)
 	var current []Item
 	conditionsHold := true
 	for _, c := range body.Expected {
@@ -295,6 +360,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stateEra(w)
 	s.revision++
 	s.leases[s.revision] = time.Duration(body.TTL) * time.Millisecond
 	respond(w, http.StatusOK, map[string]any{"lease": s.revision, "ttl_ms": body.TTL})
@@ -304,6 +370,7 @@
 	id, _ := strconv.ParseInt(r.PathValue("id"), 10, 64)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stateEra(w)
 	ttl, ok := s.leases[id]
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
@@ -316,6 +383,7 @@
 	id, _ := strconv.ParseInt(r.PathValue("id"), 10, 64)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stateEra(w)
 	delete(s.leases, id)
 	s.revision++
 	for key, item := range s.items {
