--- a/feed/members.go
+++ b/feed/members.go
@@ -50,8 +50,7 @@
 	// keptUntil holds the times until which processes are kept whose registrations a restore
 	// of the store has lost, by key.
 	keptUntil map[string]time.Time
-	// position is that of the last state, nil before the first one.
-	position *kvstore.Position
+	restores  kvstore.RestoreDetector
 	// restored wakes Serve after a restore of the store.
 	restored chan struct{}
 	// listedSince is when this process was first in members without a break, zero if it is
@@ -75,8 +74,7 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	r.expireKept(now)
-	isRestored := r.position != nil && position.Era != r.position.Era
-	r.position = &position
+	isRestored := r.restores.Reset(position)
 	before := r.members
 	r.members = map[string]Member{}
 	for i := range kvs {
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -23,9 +23,8 @@
 	// unknown counts evacuations of data centres that the settings do not name.
 	unknown atomic.Int64
 	current atomic.Pointer[evacuated]
-	// position is that of the last state, nil before the first one. It is used only by the
-	// goroutine that follows the store.
-	position *kvstore.Position
+	// restores is used only by the goroutine that follows the store.
+	restores kvstore.RestoreDetector
 }
 
 // evacuated maps each evacuated data centre to its evacuation. It is immutable.
@@ -69,8 +68,7 @@
 // Reset implements kvstore.Follower. Evacuations whose keys are missing have ended, unless
 // the store has been restored: the operator then has time to write them again.
 func (e *evacuations) Reset(kvs []kvstore.KV, position kvstore.Position) {
-	isRestored := e.position != nil && position.Era != e.position.Era
-	e.position = &position
+	isRestored := e.restores.Reset(position)
 	next := evacuated{}
 	for i := range kvs {
 		e.put(next, &kvs[i])
--- a/internal/platformtest/store.go
+++ b/internal/platformtest/store.go
@@ -182,6 +182,14 @@
 	return out
 }
 
+// HasLease reports whether a lease exists.
+func (s *Store) HasLease(id int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.leases[id]
+	return ok
+}
+
 // put writes a key at the current revision. The caller holds s.mu.
 func (s *Store) put(key string, value []byte, lease int64) {
 	item := Item{Key: key, Value: value, Revision: s.revision, Created: s.revision, Lease: lease}
--- a/kvstore/position.go
+++ b/kvstore/position.go
@@ -33,6 +33,18 @@
 	return p
 }
 
+// RestoreDetector finds restores of the store in the positions of the lists that a follower
+// receives. The zero value has received none.
+type RestoreDetector struct{ last *Position }
+
+// Reset records the position of a list. It reports whether the store has been restored since
+// the last one; the list may then be older than what the follower knows.
+func (d *RestoreDetector) Reset(position Position) bool {
+	isRestored := d.last != nil && position.Era != d.last.Era
+	d.last = &position
+	return isRestored
+}
+
 // ErrRestored is returned for a watch or a transaction that rests on a state of another era
 // than the store's. A watch must list the keys again. A transaction may have been applied:
 // its conditions may hold by chance, since revisions are given out again.
--- a/quarantine/follow.go
+++ b/quarantine/follow.go
@@ -8,12 +8,19 @@
 var _ kvstore.Follower = (*Keeper)(nil)
 
 // Reset implements kvstore.Follower. It merges the stored marks into the table,
-// so marks that are missing from the store stay in the table.
-func (k *Keeper) Reset(kvs []kvstore.KV, _ kvstore.Position) {
+// so marks that are missing from the store stay in the table. After a restore of the store,
+// the marks that this process has written are written again.
+func (k *Keeper) Reset(kvs []kvstore.KV, position kvstore.Position) {
 	k.storeUnavailable = false
 	for i := range kvs {
 		k.mergeEncoded(kvs[i].Value)
 	}
+	if !k.restores.Reset(position) {
+		return
+	}
+	marks := k.writtenMarks()
+	telemetry.Warn(k.logger, "store restored", "following", "quarantine", "era", position.Era, "rewritten", len(marks))
+	k.Enqueue(marks)
 }
 
 // Apply implements kvstore.Follower.
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -35,8 +37,13 @@
 	// watch is true if Serve also follows the store.
 	watch   bool
 	pending chan Mark
-	// storeUnavailable is used only by the goroutine that follows the store.
+	// storeUnavailable and restores are used only by the goroutine that follows the store.
 	storeUnavailable bool
+	restores         kvstore.RestoreDetector
+
+	writtenMu sync.Mutex
+	// written holds the fingerprints of the marks that this process has written.
+	written map[string]bool
 }
 
 // NewKeeper returns a keeper with an empty table. Its Serve method writes the
@@ -44,7 +51,7 @@
 // store. If watch is false, another reader of the store may call the keeper's
 // kvstore.Follower methods.
 func NewKeeper(store kvstore.Store, logger log.Logger, watch bool) *Keeper {
-	return &Keeper{Table: NewTable(), store: store, logger: logger, watch: watch, pending: make(chan Mark, maxPendingWrites)}
+	return &Keeper{Table: NewTable(), store: store, logger: logger, watch: watch, pending: make(chan Mark, maxPendingWrites), written: map[string]bool{}}
 }
 
 // Enqueue queues marks to be written to the store, with retries until the store
@@ -104,6 +111,7 @@
 		case m := <-k.pending:
 			for failures := 1; ctx.Err() == nil; failures++ {
 				if Put(ctx, k.store, m) == nil {
+					k.markWritten(m.Fingerprint)
 					break
 				}
 				backOff(ctx, failures)
@@ -112,6 +120,29 @@
 	}
 }
 
+// markWritten remembers that this process has written a mark.
+func (k *Keeper) markWritten(fingerprint string) {
+	k.writtenMu.Lock()
+	defer k.writtenMu.Unlock()
+	if len(k.written) >= maxPendingWrites {
+		maps.DeleteFunc(k.written, func(f string, _ bool) bool { _, ok := k.find(f); return !ok })
+	}
+	k.written[fingerprint] = true
+}
+
+// writtenMarks returns the marks that this process has written and that have not expired.
+func (k *Keeper) writtenMarks() []Mark {
+	k.writtenMu.Lock()
+	defer k.writtenMu.Unlock()
+	var marks []Mark
+	for f := range k.written {
+		if m, ok := k.find(f); ok {
+			marks = append(marks, m)
+		}
+	}
+	return marks
+}
+
 // errWriteConflict means that another process changed the mark between the read
 // and the write.
 var errWriteConflict = errors.New("write mark: concurrently changed by another process")
--- a/quarantine/mark.go
+++ b/quarantine/mark.go
@@ -129,6 +129,14 @@
 	return &m
 }
 
+// find returns the mark of a content. ok is false if there is none or it has expired.
+func (t *Table) find(fingerprint string) (m Mark, ok bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	m, ok = t.marks[fingerprint]
+	return m, ok && !m.isExpired(time.Now())
+}
+
 // Merge merges marks into the table. It returns the resulting marks that differ
 // from before.
 func (t *Table) Merge(marks ...Mark) []Mark {
--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -55,6 +56,12 @@
 	// waiting holds the requests whose answers have not begun.
 	waiting  map[*PartRequest]bool
 	verdicts atomic.Pointer[partVerdicts]
+	// written holds the parts whose evidence this process has written. restoredAt is when the
+	// store was last found restored, zero if never.
+	written    map[string]bool
+	restoredAt time.Time
+	// restores is used only by the goroutine that follows the store.
+	restores kvstore.RestoreDetector
 }
 
 // PartRequest is a request that runs at a target and whose answer has not begun.
@@ -73,17 +80,29 @@
 func NewPartKeeper(store kvstore.Store, logger log.Logger, send PartSender) *PartKeeper {
 	k := &PartKeeper{
 		store: store, logger: logger, send: send, pending: make(chan string, maxPendingParts),
-		history: decision.NewPartHistory(), trials: map[string]int64{}, waiting: map[*PartRequest]bool{},
+		history: decision.NewPartHistory(), trials: map[string]int64{}, waiting: map[*PartRequest]bool{}, written: map[string]bool{},
 	}
 	k.verdicts.Store(&partVerdicts{})
 	return k
 }
 
-// Reset implements kvstore.Follower. Evidence that is missing from the store is kept.
-func (k *PartKeeper) Reset(kvs []kvstore.KV, _ kvstore.Position) {
+// Reset implements kvstore.Follower. Evidence that is missing from the store is kept. After
+// a restore of the store, what this process has written is written again.
+func (k *PartKeeper) Reset(kvs []kvstore.KV, position kvstore.Position) {
 	for i := range kvs {
 		k.mergeEncoded(&kvs[i])
 	}
+	if !k.restores.Reset(position) {
+		return
+	}
+	k.mu.Lock()
+	k.restoredAt = time.Now()
+	parts := slices.Collect(maps.Keys(k.written))
+	k.mu.Unlock()
+	telemetry.Warn(k.logger, "store restored", "following", "prompt parts", "era", position.Era, "rewritten", len(parts))
+	for _, part := range parts {
+		k.enqueue(part)
+	}
 }
 
 // Apply implements kvstore.Follower.
@@ -141,11 +160,16 @@
 	}
 	k.send(shared)
 	for _, e := range shared {
-		select {
-		case k.pending <- e.Part:
-		default:
-			telemetry.Warn(k.logger, "part evidence not stored, write queue full", "part", e.Part)
-		}
+		k.enqueue(e.Part)
+	}
+}
+
+// enqueue queues the evidence of a part to be written to the store.
+func (k *PartKeeper) enqueue(part string) {
+	select {
+	case k.pending <- part:
+	default:
+		telemetry.Warn(k.logger, "part evidence not stored, write queue full", "part", part)
 	}
 }
 
@@ -213,7 +237,8 @@
 }
 
 // ClaimTrial reports whether one request with a quarantined part may run now as a trial. Among
-// all processes, one gets each trial; without the store, none does.
+// all processes, one gets each trial; without the store, none does. A restore of the store may
+// have lost the claims of the trials that were due before it, so none of these is claimed.
 func (k *PartKeeper) ClaimTrial(ctx context.Context, part string, h decision.QuarantinedPart) bool {
 	id, ok := h.Trial(time.Now())
 	if !ok {
@@ -222,8 +247,9 @@
 	k.mu.Lock()
 	isFirst := k.trials[part] != id
 	k.trials[part] = id
+	mayBeLost := !k.restoredAt.IsZero() && id <= k.restoredAt.UnixMilli()
 	k.mu.Unlock()
-	if !isFirst {
+	if !isFirst || mayBeLost {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, trialClaimTimeout)
@@ -252,6 +278,7 @@
 		case part := <-k.pending:
 			for failures := 1; ctx.Err() == nil; failures++ {
 				if k.put(ctx, part) == nil {
+					k.markWritten(part)
 					break
 				}
 				backOff(ctx, failures)
@@ -260,6 +287,16 @@
 	}
 }
 
+// markWritten remembers that this process has written the evidence of a part.
+func (k *PartKeeper) markWritten(part string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(k.written) >= maxPendingParts {
+		clear(k.written)
+	}
+	k.written[part] = true
+}
+
 // String names the service in the supervisor's log.
 func (k *PartKeeper) String() string { return "prompt parts" }
 
