--- a/feed/members.go
+++ b/feed/members.go
@@ -33,7 +33,7 @@
 	maxRetryDelay = 3 * time.Second
 	// restoreSpread is the time over which the processes register again after a restore of
 	// the store, so that their calls do not come at once.
-	restoreSpread = time.Second
+	restoreSpread = 2 * time.Second
 )
 
 // MemberRegistry keeps this process registered in the store and lists the other
