--- a/feed/restore_test.go
+++ b/feed/restore_test.go
@@ -181,6 +181,24 @@
 	})
 }
 
+// TestRequestsWithoutAnEra guards against processes of an earlier version, which state no era and
+// would list all keys again and again.
+func TestRequestsWithoutAnEra(t *testing.T) {
+	convey.Convey("A watch request without an era is of the hub's, one with an invalid era fails", t, func() {
+		hub := NewHub()
+		hub.Reset(nil, kvstore.Position{Era: 2, Revision: 5})
+		status := func(query string) int {
+			recorded := httptest.NewRecorder()
+			hub.Handler().ServeHTTP(recorded, httptest.NewRequest(http.MethodGet, PathWatch+"?wait_ms=0&"+query, nil))
+			return recorded.Code
+		}
+		convey.So(status("after=5"), convey.ShouldEqual, http.StatusOK)
+		convey.So(status("after=5&era=2"), convey.ShouldEqual, http.StatusOK)
+		convey.So(status("after=9&era=1"), convey.ShouldEqual, http.StatusGone)
+		convey.So(status("after=5&era=x"), convey.ShouldEqual, http.StatusBadRequest)
+	})
+}
+
 // TestMembersAreKeptAfterARestore guards against processes that take a larger share, or another
 // leader, because a restore of the store has lost the registrations of others.
 func TestMembersAreKeptAfterARestore(t *testing.T) {
--- a/feed/serve.go
+++ b/feed/serve.go
@@ -74,16 +74,17 @@
 }
 
 // parsePosition returns the position that the query of a watch request states. Processes of
-// earlier versions state no era.
-func parsePosition(query url.Values) (kvstore.Position, error) {
+// earlier versions state no era; it is then known, so that they do not list all keys again
+// and again.
+func parsePosition(query url.Values, known int64) (kvstore.Position, error) {
 	revision, err := strconv.ParseInt(query.Get("after"), 10, 64)
 	if err != nil {
 		return kvstore.Position{}, err
 	}
-	var era int64
-	if text := query.Get("era"); text != "" {
-		era, err = strconv.ParseInt(text, 10, 64)
+	if !query.Has("era") {
+		return kvstore.Position{Era: known, Revision: revision}, nil
 	}
+	era, err := strconv.ParseInt(query.Get("era"), 10, 64)
 	return kvstore.Position{Era: era, Revision: revision}, err
 }
 
@@ -91,7 +92,7 @@
 // waits for them up to the time that the request states, at most watchTimeout, and
 // then responds without events.
 func (h *Hub) serveWatch(w http.ResponseWriter, r *http.Request) {
-	after, err := parsePosition(r.URL.Query())
+	after, err := parsePosition(r.URL.Query(), h.Position().Era)
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -188,6 +188,9 @@
 	g.feedHub.Subscribe(quarantine.Prefix, g.quarantine)
 	g.parts = quarantine.NewPartKeeper(opts.Store, opts.Logger, g.sendPartEvidence)
 	g.feedHub.Subscribe(quarantine.PartPrefix, g.parts)
+	gatewayMetrics.Gauge("state_era", "Era of the store's state in this process: the restores that the store has stated.", func() int64 { return g.feedHub.Position().Era })
+	gatewayMetrics.Gauge("state_revision", "Revision of the store's state in this process.", func() int64 { return g.feedHub.Position().Revision })
+	gatewayMetrics.Gauge("state_age_milliseconds", "Time since the state in this process was read from the store, in milliseconds.", func() int64 { return g.feedHub.StateAge(time.Now()).Milliseconds() })
 	g.feedSource = feed.NewSource(opts.Store, g.feedHub, g.members, opts.PeerClient, opts.Logger)
 	g.retryBudgets.memberCount = g.members.Count
 	g.retryBudgets.ratio = opts.RetryRatio
