--- a/feed/members.go
+++ b/feed/members.go
@@ -207,6 +207,7 @@
 func (r *MemberRegistry) HasHost(host string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.expireKept(time.Now())
 	for _, m := range r.members {
 		if memberHost, _, err := net.SplitHostPort(m.Addr); err == nil && memberHost == host && m.Name != r.self.Name {
 			return true
@@ -262,6 +263,7 @@
 func (r *MemberRegistry) Others() []Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.expireKept(time.Now())
 	var out []Member
 	for _, m := range r.members {
 		if m.Name != r.self.Name {
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -23,26 +23,31 @@
 	// unknown counts evacuations of data centres that the settings do not name.
 	unknown atomic.Int64
 	current atomic.Pointer[evacuated]
-	// restores is used only by the goroutine that follows the store.
+	// restores and ended are used only by the goroutine that follows the store. ended holds
+	// the positions at which evacuations have ended, by data centre.
 	restores kvstore.RestoreDetector
+	ended    map[string]kvstore.Position
 }
 
 // evacuated maps each evacuated data centre to its evacuation. It is immutable.
 type evacuated map[string]evacuation
 
 // evacuation is the evacuation of a data centre. until is zero, or the time until which it is
-// kept although a restore of the store has lost its key.
+// kept although a restore of the store has lost its key. from is zero, or the time until which it
+// is not in force, since it had ended before the restore.
 type evacuation struct {
-	revision int64
-	until    time.Time
+	revision    int64
+	from, until time.Time
 }
 
-func (e evacuation) isInForce(now time.Time) bool { return e.until.IsZero() || now.Before(e.until) }
+func (e evacuation) isInForce(now time.Time) bool {
+	return !now.Before(e.from) && (e.until.IsZero() || now.Before(e.until))
+}
 
 var _ kvstore.Follower = (*evacuations)(nil)
 
 func newEvacuations(prefix string, regions map[string]string, logger log.Logger) *evacuations {
-	e := &evacuations{prefix: prefix, regions: regions, logger: logger}
+	e := &evacuations{prefix: prefix, regions: regions, logger: logger, ended: map[string]kvstore.Position{}}
 	e.current.Store(&evacuated{})
 	return e
 }
@@ -66,7 +71,8 @@
 }
 
 // Reset implements kvstore.Follower. Evacuations whose keys are missing have ended, unless
-// the store has been restored: the operator then has time to write them again.
+// the store has been restored: the operator then has time to write them again. For the same time,
+// a restore does not bring back evacuations that had ended.
 func (e *evacuations) Reset(kvs []kvstore.KV, position kvstore.Position) {
 	isRestored := e.restores.Reset(position)
 	next := evacuated{}
@@ -74,17 +80,26 @@
 		e.put(next, &kvs[i])
 	}
 	now := time.Now()
+	for datacentre, found := range next {
+		if at, ok := e.ended[datacentre]; ok && isRestored && at.Era < position.Era && found.revision < at.Revision {
+			found.from = now.Add(kvstore.RecoveryGrace)
+			next[datacentre] = found
+			telemetry.Warn(e.logger, "evacuation held after a restore of the store", "datacentre", datacentre, "era", position.Era, "revision", found.revision)
+		}
+	}
 	for datacentre, found := range *e.current.Load() {
 		if _, listed := next[datacentre]; listed || !found.isInForce(now) {
 			continue
 		}
-		if isRestored && found.until.IsZero() {
+		if isRestored {
 			found.until = now.Add(kvstore.RecoveryGrace)
 			telemetry.Warn(e.logger, "evacuation kept after a restore of the store", "datacentre", datacentre, "era", position.Era, "revision", found.revision)
 		}
 		if !found.until.IsZero() {
 			next[datacentre] = found
+			continue
 		}
+		e.ended[datacentre] = position
 	}
 	e.apply(next)
 }
@@ -100,6 +115,7 @@
 		datacentre := strings.TrimPrefix(kv.Key, e.prefix)
 		if batch.Events[i].Deleted {
 			delete(next, datacentre)
+			e.ended[datacentre] = kvstore.Position{Era: batch.Era, Revision: kv.ModRevision}
 			continue
 		}
 		e.put(next, kv)
@@ -130,7 +146,7 @@
 	before := *e.current.Load()
 	e.current.Store(&next)
 	for datacentre, found := range next {
-		if _, ok := before[datacentre]; !ok {
+		if _, ok := before[datacentre]; !ok && found.from.IsZero() {
 			telemetry.Info(e.logger, "evacuation in force", "datacentre", datacentre, "revision", found.revision)
 		}
 	}
--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -32,6 +32,11 @@
 			e.Reset([]kvstore.KV{key("b", 3)}, kvstore.Position{Era: 2, Revision: 7})
 			convey.So(e.includes("a"), convey.ShouldBeFalse)
 		})
+		convey.Convey("and for longer after another restore", func() {
+			first := (*e.current.Load())["a"].until
+			e.Reset([]kvstore.KV{key("b", 3)}, kvstore.Position{Era: 3, Revision: 5})
+			convey.So((*e.current.Load())["a"].until.After(first), convey.ShouldBeTrue)
+		})
 		convey.Convey("until the operator ends it", func() {
 			e.Apply(kvstore.WatchBatch{Era: 2, Revision: 6, Events: []kvstore.Event{{KV: key("a", 6), Deleted: true}}})
 			convey.So(e.includes("a"), convey.ShouldBeFalse)
@@ -41,6 +46,18 @@
 			convey.So((*e.current.Load())["a"].until.IsZero(), convey.ShouldBeTrue)
 		})
 	})
+	convey.Convey("An evacuation that had ended is not in force because its key is back", t, func() {
+		e := newEvacuations("evacuate/", map[string]string{"a": "north"}, log.NewNopLogger())
+		key := kvstore.KV{Key: "evacuate/a", ModRevision: 7}
+		e.Reset([]kvstore.KV{key}, kvstore.Position{Era: 1, Revision: 9})
+		e.Apply(kvstore.WatchBatch{Era: 1, Revision: 12, Events: []kvstore.Event{{KV: kvstore.KV{Key: key.Key, ModRevision: 12}, Deleted: true}}})
+		e.Reset([]kvstore.KV{key}, kvstore.Position{Era: 2, Revision: 9})
+		convey.So(e.includes("a"), convey.ShouldBeFalse)
+		convey.So((*e.current.Load())["a"].isInForce(time.Now().Add(kvstore.RecoveryGrace)), convey.ShouldBeTrue)
+		key.ModRevision = 10
+		e.Apply(kvstore.WatchBatch{Era: 2, Revision: 10, Events: []kvstore.Event{{KV: key}}})
+		convey.So(e.includes("a"), convey.ShouldBeTrue)
+	})
 	convey.Convey("Without a restore, an evacuation that is missing has ended", t, func() {
 		e := newEvacuations("evacuate/", map[string]string{"a": "north"}, log.NewNopLogger())
 		e.Reset([]kvstore.KV{{Key: "evacuate/a", ModRevision: 7}}, kvstore.Position{Era: 1, Revision: 9})
--- a/quarantine/follow.go
+++ b/quarantine/follow.go
@@ -1,6 +1,9 @@
 package quarantine
 
 import (
+	"math/rand/v2"
+	"time"
+
 	"github.com/quetzalglade/quetzalglade/kvstore"
 	"github.com/quetzalglade/quetzalglade/telemetry"
 )
@@ -20,7 +23,7 @@
 	}
 	marks := k.writtenMarks()
 	telemetry.Warn(k.logger, "store restored", "following", "quarantine", "era", position.Era, "rewritten", len(marks))
-	k.Enqueue(marks)
+	time.AfterFunc(rand.N(rewriteSpread), func() { k.Enqueue(marks) })
 }
 
 // Apply implements kvstore.Follower.
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -26,6 +26,9 @@
 	maxRetryDelay = 10 * time.Second
 	// maxPendingWrites is the size of the queue of marks to be written.
 	maxPendingWrites = 1024
+	// rewriteSpread is the time over which processes write again what a restore of the store
+	// may have lost, so that their calls do not come at once.
+	rewriteSpread = 2 * time.Second
 )
 
 // Keeper is a table that is synchronized with the marks in the store. It is a
@@ -109,9 +112,10 @@
 		case <-ctx.Done():
 			return
 		case m := <-k.pending:
+			// Before the write, so that a restore during it does not miss the mark.
+			k.markWritten(m.Fingerprint)
 			for failures := 1; ctx.Err() == nil; failures++ {
 				if Put(ctx, k.store, m) == nil {
-					k.markWritten(m.Fingerprint)
 					break
 				}
 				backOff(ctx, failures)
--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync"
@@ -57,9 +58,10 @@
 	waiting  map[*PartRequest]bool
 	verdicts atomic.Pointer[partVerdicts]
 	// written holds the parts whose evidence this process has written. restoredAt is when the
-	// store was last found restored, zero if never.
+	// store was last found restored, zero if never; era is that of the last list.
 	written    map[string]bool
 	restoredAt time.Time
+	era        int64
 	// restores is used only by the goroutine that follows the store.
 	restores kvstore.RestoreDetector
 }
@@ -92,17 +94,22 @@
 	for i := range kvs {
 		k.mergeEncoded(&kvs[i])
 	}
-	if !k.restores.Reset(position) {
+	isRestored := k.restores.Reset(position)
+	k.mu.Lock()
+	k.era = position.Era
+	if !isRestored {
+		k.mu.Unlock()
 		return
 	}
-	k.mu.Lock()
 	k.restoredAt = time.Now()
 	parts := slices.Collect(maps.Keys(k.written))
 	k.mu.Unlock()
 	telemetry.Warn(k.logger, "store restored", "following", "prompt parts", "era", position.Era, "rewritten", len(parts))
-	for _, part := range parts {
-		k.enqueue(part)
-	}
+	time.AfterFunc(rand.N(rewriteSpread), func() {
+		for _, part := range parts {
+			k.enqueue(part)
+		}
+	})
 }
 
 // Apply implements kvstore.Follower.
@@ -248,6 +255,7 @@
 	isFirst := k.trials[part] != id
 	k.trials[part] = id
 	mayBeLost := !k.restoredAt.IsZero() && id <= k.restoredAt.UnixMilli()
+	listedEra := k.era
 	k.mu.Unlock()
 	if !isFirst || mayBeLost {
 		return false
@@ -255,13 +263,12 @@
 	ctx, cancel := context.WithTimeout(ctx, trialClaimTimeout)
 	defer cancel()
 	key := partTrialPrefix + part + "/" + strconv.FormatInt(id, 10)
-	era := k.store.Era()
 	lease, err := k.store.Grant(ctx, decision.PartEvidenceTTL)
 	if err != nil {
 		return false
 	}
 	resp, err := k.store.Commit(ctx, kvstore.Txn{
-		Era: era, Compares: []kvstore.Compare{{Key: key}}, Ops: []kvstore.Op{{Key: key, Value: []byte("{}"), Lease: lease}},
+		Era: listedEra, Compares: []kvstore.Compare{{Key: key}}, Ops: []kvstore.Op{{Key: key, Value: []byte("{}"), Lease: lease}},
 	})
 	won := err == nil && resp.Applied
 	telemetry.Info(k.logger, "prompt part trial", "part", part, "crashes", h.Crashes, "won", won, "err", err)
@@ -276,9 +283,10 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case part := <-k.pending:
+			// Before the write, so that a restore during it does not miss the part.
+			k.markWritten(part)
 			for failures := 1; ctx.Err() == nil; failures++ {
 				if k.put(ctx, part) == nil {
-					k.markWritten(part)
 					break
 				}
 				backOff(ctx, failures)
@@ -292,7 +300,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if len(k.written) >= maxPendingParts {
-		clear(k.written)
+		maps.DeleteFunc(k.written, func(p string, _ bool) bool { return len(k.history.Evidence(p).Crashes) == 0 })
 	}
 	k.written[part] = true
 }
--- a/quarantine/restore_test.go
+++ b/quarantine/restore_test.go
@@ -67,7 +67,7 @@
 	store.SetEra(1)
 	defer store.Close()
 	client := platform.NewStore(store.Addr(), &http.Client{}, log.NewNopLogger(), time.Second, 100*time.Millisecond)
-	Convey("A trial that was due before the restore is not claimed after it, a later one is", t, func() {
+	Convey("A trial that was due before the restore is not claimed after it, also by a process whose state is from before it; a later one is", t, func() {
 		ctx := context.Background()
 		newKeepers := func() (keepers []*quarantine.PartKeeper) {
 			for range 3 {
@@ -95,6 +95,7 @@
 		store.Restore(earlier)
 		_, err = client.Get(ctx, "k")
 		So(err, ShouldBeNil)
+		So(trials(newKeepers(), part), ShouldEqual, 0)
 		for _, k := range others {
 			k.Reset(nil, kvstore.Position{Era: 2, Revision: 1})
 		}
--- a/registry/keeper.go
+++ b/registry/keeper.go
@@ -74,8 +74,8 @@
 // removal is the removal of a target's entry.
 type removal struct {
 	startMillis int64
-	// revision is that of the entry before it was removed.
-	revision int64
+	// position is that of the state that first lacked the entry.
+	position kvstore.Position
 	at       time.Time
 }
 
@@ -91,7 +91,8 @@
 const (
 	// departureRetention is how long a departure is remembered. It exceeds the time for
 	// which a target serves after it has stated that it leaves, and for which an entry of
-	// it may return from a process with an older state. Removals are kept as long.
+	// it may return from a process with an older state. Removals are kept at least as long,
+	// unless there are more than maxDepartures.
 	departureRetention = 10 * time.Minute
 	// maxDepartures and maxInvalid limit the number of departures and invalid entries.
 	maxDepartures = 4096
@@ -205,7 +206,7 @@
 	}
 	for id := range k.targets {
 		if !listed[id] {
-			k.remove(id)
+			k.remove(id, position)
 		}
 	}
 }
@@ -223,7 +224,7 @@
 		}
 		for id, t := range k.targets {
 			if t.key == e.KV.Key {
-				k.remove(id)
+				k.remove(id, kvstore.Position{Era: batch.Era, Revision: e.KV.ModRevision})
 			}
 		}
 	}
@@ -236,9 +237,10 @@
 	if err != nil || k.now().Sub(k.restoredAt) > restoredEntryHold {
 		return k.putEntry(kv)
 	}
-	if r, ok := k.removals[record.ID]; ok && record.StartMillis <= r.startMillis && kv.ModRevision <= r.revision {
+	if r, ok := k.removals[record.ID]; ok && record.StartMillis <= r.startMillis && r.position.Era < k.position.Era && kv.ModRevision < r.position.Revision {
 		k.held[kv.Key] = *kv
-		telemetry.Info(k.logger, "target entry held after a restore", "target", record.ID, "revision", kv.ModRevision, "removed_at_revision", r.revision)
+		telemetry.Info(k.logger, "target entry held after a restore", "target", record.ID, "revision", kv.ModRevision,
+			"removed_at_era", r.position.Era, "removed_at_revision", r.position.Revision)
 		return ""
 	}
 	known := k.targets[record.ID]
@@ -366,34 +368,35 @@
 
 // remove removes a target whose entry is no longer in the store. Within
 // recoveryGrace after an outage of the store, the entry of a live target may have
-// expired, so a ready target is only recorded as missing.
-func (k *Keeper) remove(id string) {
+// expired, so a ready target is only recorded as missing. position is that of the state that
+// lacks the entry.
+func (k *Keeper) remove(id string, position kvstore.Position) {
 	if k.now().Before(k.recoveredAt.Add(recoveryGrace)) && k.targets[id].State == Ready {
 		k.missing[id] = true
 		return
 	}
-	k.drop(k.targets[id], "entry removed")
+	k.drop(k.targets[id], "entry removed", position)
 }
 
 // drop deletes a target and remembers for a while that it was removed and what was sent to it.
-func (k *Keeper) drop(t *Target, reason string) {
+func (k *Keeper) drop(t *Target, reason string, position kvstore.Position) {
 	k.markLeaving(t, reason)
 	delete(k.targets, t.ID)
 	now := k.now()
-	k.recordRemoval(t, now)
+	k.recordRemoval(t, position, now)
 	maps.DeleteFunc(k.removedSends, func(_ string, r removedSends) bool { return now.Sub(r.at) > decision.RateSpan })
 	k.removedSends[t.ID] = removedSends{startMillis: t.StartMillis, at: now, sends: t.Load.coldSends}
 }
 
 // recordRemoval remembers that the entry of a target was removed.
-func (k *Keeper) recordRemoval(t *Target, now time.Time) {
+func (k *Keeper) recordRemoval(t *Target, position kvstore.Position, now time.Time) {
 	if len(k.removals) >= maxDepartures {
 		maps.DeleteFunc(k.removals, func(_ string, r removal) bool { return now.Sub(r.at) > departureRetention })
 	}
 	if len(k.removals) >= maxDepartures {
 		clear(k.removals)
 	}
-	k.removals[t.ID] = removal{startMillis: t.StartMillis, revision: t.entryRevision, at: now}
+	k.removals[t.ID] = removal{startMillis: t.StartMillis, position: position, at: now}
 }
 
 // removeMissing removes the targets whose entries were not restored within
@@ -401,7 +404,7 @@
 func (k *Keeper) removeMissing() {
 	for id := range k.missing {
 		if t := k.targets[id]; t != nil {
-			k.drop(t, "entry not restored after store outage")
+			k.drop(t, "entry not restored after store outage", k.known())
 		}
 	}
 	clear(k.missing)
--- a/registry/restore_test.go
+++ b/registry/restore_test.go
@@ -120,6 +120,31 @@
 			convey.So(isReady(k, "a"), convey.ShouldBeFalse)
 		})
 	})
+	convey.Convey("Nor one whose last write and removal were not seen", t, func() {
+		k, now := newTestKeeper(t)
+		k.Reset([]kvstore.KV{at(entry("ready", 1), 50)}, kvstore.Position{Era: 1, Revision: 55})
+		k.updates <- func() { *now = now.Add(time.Minute) }
+		k.Reset(nil, kvstore.Position{Era: 1, Revision: 90})
+		convey.So(isReady(k, "a"), convey.ShouldBeFalse)
+		k.Reset([]kvstore.KV{at(entry("ready", 1), 70)}, kvstore.Position{Era: 2, Revision: 75})
+		convey.So(isReady(k, "a"), convey.ShouldBeFalse)
+	})
+	convey.Convey("One that was dropped after the restore is used once a list has its entry", t, func() {
+		k, now := newTestKeeper(t)
+		k.Reset([]kvstore.KV{at(entry("ready", 1), 240)}, kvstore.Position{Era: 1, Revision: 241})
+		k.Reset(nil, kvstore.Position{Era: 2, Revision: 41})
+		k.updates <- func() { *now = now.Add(recoveryGrace); k.removeMissing() }
+		convey.So(isReady(k, "a"), convey.ShouldBeFalse)
+		k.Reset([]kvstore.KV{at(entry("ready", 1), 60)}, kvstore.Position{Era: 2, Revision: 61})
+		convey.So(isReady(k, "a"), convey.ShouldBeTrue)
+	})
+	convey.Convey("An entry from after the removal is used at once", t, func() {
+		k, _ := newTestKeeper(t)
+		k.Reset([]kvstore.KV{at(entry("ready", 1), 9)}, kvstore.Position{Era: 1, Revision: 9})
+		k.Apply(deleted(1, 20))
+		k.Reset([]kvstore.KV{at(entry("ready", 1), 22)}, kvstore.Position{Era: 2, Revision: 30})
+		convey.So(isReady(k, "a"), convey.ShouldBeTrue)
+	})
 	convey.Convey("A target that had stated that it leaves stays out", t, func() {
 		k, now := newTestKeeper(t)
 		k.Reset([]kvstore.KV{at(entry("ready", 1), 9)}, kvstore.Position{Era: 1, Revision: 9})
