--- a/kvstore/gateway.go
+++ b/kvstore/gateway.go
@@ -161,7 +161,9 @@
 	if err := s.call(ctx, "/v3/kv/txn", encodeTxn(txn), &out); err != nil {
 		return TxnResult{}, err
 	}
-	if era := s.eras.end(began, out.Header, true); txn.RestsOnEra() && era != txn.Era {
+	s.eras.end(began, out.Header, true)
+	// Another response may have shown a restore while this one was on its way.
+	if era := s.Era(); txn.RestsOnEra() && era != txn.Era {
 		return TxnResult{}, errors.Wrapf(ErrRestored, "transaction of era %d met era %d", txn.Era, era)
 	}
 	result := TxnResult{Applied: out.Succeeded, Revision: out.Header.Revision}
