--- a/feed/source.go
+++ b/feed/source.go
@@ -78,6 +78,8 @@
 	logger  log.Logger
 
 	mu sync.Mutex
+	// storeWatchFailed is set while no watch of the store has returned anything since one began.
+	storeWatchFailed bool
 	// failed holds the upstreams whose last read or probe failed, by name.
 	failed map[string]*failedUpstream
 	// current is the name of the upstream that last returned a state, currentAge the
@@ -355,18 +357,45 @@
 
 // watchStore forwards the store's changes until an error occurs or another
 // process becomes the preferred upstream. With each batch it advances after and
-// resets failures.
+// resets failures. It returns kvstore.ErrMissedChanges if reads show changes that the watch
+// does not return.
 func (s *Source) watchStore(ctx context.Context, prefix string, after *kvstore.Position, out chan<- kvstore.WatchBatch, failures *int) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	for batch := range s.Store.Watch(ctx, prefix, *after) {
+	verifier := watchVerifier{failedBefore: s.setStoreWatchFailed(true)}
+	firstDelay := verifyPeriod
+	if verifier.failedBefore {
+		firstDelay = firstVerifyDelay
+	}
+	batches, positions := s.Store.Watch(ctx, prefix, *after), s.readPositions(ctx, firstDelay)
+	for {
+		var batch kvstore.WatchBatch
+		var ok bool
+		select {
+		case batch, ok = <-batches:
+		case read := <-positions:
+			verifier.read(read, *after)
+			if verifier.isMissing(time.Now()) {
+				return kvstore.ErrMissedChanges
+			}
+			continue
+		}
+		if !ok {
+			return errors.New("feed: store watch ended")
+		}
 		if batch.Err != nil {
+			if verifier.unseen != nil {
+				return errors.CombineErrors(kvstore.ErrMissedChanges, batch.Err)
+			}
 			return batch.Err
 		}
+		s.setStoreWatchFailed(false)
+		verifier.failedBefore = false
 		*failures = 0
 		s.markSucceeded(upstream{}, batch.Age)
 		s.hub.setVia(nil)
 		*after = after.Later(batch.Position())
+		verifier.reached(*after)
 		select {
 		case out <- batch:
 		case <-ctx.Done():
@@ -380,7 +409,14 @@
 		case <-ctx.Done():
 		}
 	}
-	return errors.New("feed: store watch ended")
+}
+
+// setStoreWatchFailed sets storeWatchFailed and returns its value before.
+func (s *Source) setStoreWatchFailed(failed bool) (before bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before, s.storeWatchFailed = s.storeWatchFailed, failed
+	return before
 }
 
 // watchMember sends one watch request to another process and forwards the
--- a/kvstore/follow.go
+++ b/kvstore/follow.go
@@ -16,10 +16,13 @@
 // current state is smaller; the caller must list the keys.
 var ErrBacklog = errors.New("store: backlog of changes exceeds the size limit")
 
+// ErrMissedChanges ends a watch that does not return changes that a read has shown.
+var ErrMissedChanges = errors.New("store: the watch misses changes")
+
 // MustList reports whether err ended a watch that can't be continued before the keys
 // are listed again.
 func MustList(err error) bool {
-	return errors.IsAny(err, ErrCompacted, ErrBacklog, ErrRestored)
+	return errors.IsAny(err, ErrCompacted, ErrBacklog, ErrRestored, ErrMissedChanges)
 }
 
 // Follower receives the keys and changes that Follow reads from the store.
