--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -69,6 +69,11 @@
 			return []finding{{"REFUSED", fmt.Sprintf("%s: status %d, but it ran", e.id, e.status), e}}
 		}
 	case http.StatusBadGateway, http.StatusGatewayTimeout:
+	case http.StatusNotFound:
+		// judgeChanges judges the routes that do not always exist.
+		if e.route == "" {
+			return []finding{{"DENIED", fmt.Sprintf("%s: status %d %.100s", e.id, e.status, e.content), e}}
+		}
 	default:
 		return []finding{{"DENIED", fmt.Sprintf("%s: status %d %.100s", e.id, e.status, e.content), e}}
 	}
--- a/internal/soak/client_test.go
+++ b/internal/soak/client_test.go
@@ -41,6 +41,9 @@
 	kind    requestKind
 	body    string
 	gateway *gateway
+	// route is the route of a configuration that the request uses, "" for one that each
+	// configuration has.
+	route string
 	// startedAt is when the client began to send, sentAt when it had sent the last byte,
 	// and endedAt when the response was complete or the connection had ended.
 	startedAt, sentAt, endedAt time.Time
@@ -80,6 +83,9 @@
 	slow bool
 	// leaves is the share of requests whose client leaves before the response.
 	leaves float64
+	// newestRoute returns a route for the idempotent calls, "" for the one that always
+	// exists.
+	newestRoute func() string
 }
 
 // maxLargeBody is the longest large body, slowReadPause the pause of a slow client after each
@@ -190,6 +196,10 @@
 		e.kind, method, path, deadline = stream, http.MethodPost, "/stream/", streamDeadline
 	case c.random.Float64() < 0.7:
 		e.kind, method, path = nonIdempotentCall, http.MethodPost, "/book/"
+	case c.newestRoute != nil:
+		if e.route = c.newestRoute(); e.route != "" {
+			path = "/" + e.route + "/"
+		}
 	}
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s%s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Key: %s\r\nX-Deadline-Ms: %d\r\n", method, path, e.id, hostname, e.id, apiKey, deadline.Milliseconds())
--- a/internal/soak/restore_test.go
+++ b/internal/soak/restore_test.go
@@ -37,6 +37,8 @@
 	// of a request.
 	probePeriod  = 40 * time.Millisecond
 	probeTimeout = 2500 * time.Millisecond
+	// minServedShare is the least share of requests that are served in a run.
+	minServedShare = 0.98
 	// parallelRuns is the number of runs at the same time.
 	parallelRuns = 5
 )
@@ -52,8 +54,8 @@
 type disruption struct {
 	name       string
 	begin, end func(*disrupted)
-	// late is true for a disruption that is run by hand only.
-	late bool
+	// byHand is set for a disruption that is run by hand only.
+	byHand bool
 }
 
 // probe is one request to one gateway.
@@ -74,12 +76,14 @@
 	probes map[string][]probe
 	// since is the end of a gateway's freeze or restart, from which its times count.
 	since map[string]time.Time
+	// excused holds the times in which a gateway was frozen or restarted.
+	excused map[string][]outage
 }
 
 // newDisrupted starts a fleet and waits until every gateway uses every worker.
 func newDisrupted(t *testing.T, size int) *disrupted {
 	t.Helper()
-	f := &disrupted{fleet: newFleet(t, 1, 0), links: map[string]*link{}, probes: map[string][]probe{}, since: map[string]time.Time{}}
+	f := &disrupted{fleet: newFleet(t, 1, 0), links: map[string]*link{}, probes: map[string][]probe{}, since: map[string]time.Time{}, excused: map[string][]outage{}}
 	f.store.SetEra(1)
 	f.added.Store("")
 	for i := range size {
@@ -222,29 +226,33 @@
 	return leader, reader
 }
 
-// excuse records that the times of a gateway count from now on.
-func (f *disrupted) excuse(g *gateway) {
+// excuse records that a gateway was frozen or restarted up to now and that its times count
+// from now on.
+func (f *disrupted) excuse(g *gateway, from time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.since[g.name] = time.Now()
+	f.excused[g.name] = append(f.excused[g.name], outage{from: from, to: time.Now()})
 }
 
 // freeze stops a gateway for some time without waiting for it.
 func (f *disrupted) freeze(g *gateway, d time.Duration) {
+	from := time.Now()
 	g.signal(syscall.SIGSTOP)
 	f.mu.Lock()
-	f.since[g.name] = time.Now().Add(d)
+	f.since[g.name] = from.Add(d)
 	f.mu.Unlock()
 	time.AfterFunc(d, func() {
 		g.signal(syscall.SIGCONT)
-		f.excuse(g)
+		f.excuse(g, from)
 	})
 }
 
 // restart kills a gateway, which is started again, without waiting for it.
 func (f *disrupted) restart(g *gateway) {
+	from := time.Now()
 	f.mu.Lock()
-	f.since[g.name] = time.Now().Add(startLimit)
+	f.since[g.name] = from.Add(startLimit)
 	f.mu.Unlock()
 	g.signal(syscall.SIGKILL)
 	go func() {
@@ -257,7 +265,7 @@
 			}
 			_ = resp.Body.Close()
 			if resp.StatusCode == http.StatusOK {
-				f.excuse(g)
+				f.excuse(g, from)
 				return
 			}
 		}
@@ -283,7 +291,7 @@
 	})
 	f.addWorker(callService)
 	c.joined = fmt.Sprintf("i-%d", f.started)
-	f.store.Delete(platform.TargetPrefix + c.removed)
+	f.remove(platform.TargetPrefix + c.removed)
 	f.fleet.mu.Lock()
 	delete(f.workers, c.removed)
 	f.fleet.mu.Unlock()
@@ -367,19 +375,22 @@
 	}
 }
 
-// served returns the number of requests of the routes that always exist, those of them that
-// were served, and the IDs of requests of a non-idempotent kind that ran more than once.
+// served returns the number of requests of the routes that always exist, without those to a
+// gateway that is frozen or restarts, those of them that were served, and the IDs of requests
+// of a non-idempotent kind that ran more than once.
 func (f *disrupted) served() (all, served int, twice []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, probes := range f.probes {
+	for name, probes := range f.probes {
 		for _, p := range probes {
 			if p.kind != "look" && p.kind != "book" {
 				continue
 			}
-			all++
-			if p.status == http.StatusOK {
-				served++
+			if !slices.ContainsFunc(f.excused[name], func(o outage) bool { return p.sentAt.Before(o.to) && p.endedAt.After(o.from) }) {
+				all++
+				if p.status == http.StatusOK {
+					served++
+				}
 			}
 			ran := 0
 			for _, a := range f.log.of(p.id) {
@@ -429,6 +440,9 @@
 			}
 		}
 	}
+	if float64(served) < minServedShare*float64(all) {
+		t.Errorf("%d of %d requests served, at least %.0f of 100 are due", served, all, minServedShare*100)
+	}
 	if len(twice) > 0 {
 		t.Errorf("requests of a non-idempotent kind that ran twice: %v", twice)
 	}
@@ -521,11 +535,11 @@
 	{name: "H2 leader frozen for 6 s", begin: frozenLeader(6 * time.Second)},
 	{name: "H2 leader cut off, connections closed", begin: onLeader(linkState{refused: true}), end: reconnect},
 	{name: "H2 leader cut off, no answers", begin: onLeader(linkState{silent: true}), end: reconnect},
-	{name: "H2 reader cut off, connections closed", begin: onReader(linkState{refused: true}), end: reconnect, late: true},
+	{name: "H2 reader cut off, connections closed", begin: onReader(linkState{refused: true}), end: reconnect, byHand: true},
 	{name: "H2 reader cut off, no answers", begin: onReader(linkState{silent: true}), end: reconnect},
 	{name: "H2 answers to the leader 2 s late", begin: onLeader(linkState{delay: 2 * time.Second}), end: reconnect},
-	{name: "H2 answers to the leader 0.9 s late", begin: onLeader(linkState{delay: 900 * time.Millisecond}), end: reconnect, late: true},
-	{name: "H2 answers to the reader 2 s late", begin: onReader(linkState{delay: 2 * time.Second}), end: reconnect, late: true},
+	{name: "H2 answers to the leader 0.9 s late", begin: onLeader(linkState{delay: 900 * time.Millisecond}), end: reconnect, byHand: true},
+	{name: "H2 answers to the reader 2 s late", begin: onReader(linkState{delay: 2 * time.Second}), end: reconnect, byHand: true},
 	{name: "H2 only one gateway reaches the store", begin: func(f *disrupted) {
 		_, reader := f.leader()
 		for name, l := range f.links {
@@ -534,7 +548,7 @@
 			}
 		}
 		time.Sleep(time.Second)
-	}, end: reconnect, late: true},
+	}, end: reconnect, byHand: true},
 	{name: "H2 leader frozen five times for 1.2 s", begin: func(f *disrupted) {
 		leader, _ := f.leader()
 		go func() {
@@ -544,7 +558,7 @@
 			}
 		}()
 		time.Sleep(time.Second)
-	}, late: true},
+	}, byHand: true},
 	{name: "H3 no answers to the leader's watches", begin: onLeader(linkState{heldWatches: true}), end: compactAndReconnect},
 	{name: "H3 history dropped while the leader's watches are not answered", begin: func(f *disrupted) {
 		onLeader(linkState{heldWatches: true})(f)
@@ -595,62 +609,105 @@
 		f.store.SetFaults(platformtest.StoreFaults{})
 		f.restart(reader)
 		f.restart(leader)
-	}, late: true},
+	}, byHand: true},
 }
 
 // TestChangesDuringDisruptions guards against gateways that stay on an old state because of
 // a frozen or old reader, a watch that misses changes, unanswered writes or a restart.
-func TestChangesDuringDisruptions(t *testing.T) {
-	for i := range rivals {
-		d := &rivals[i]
-		if d.late && !longRuns() {
-			continue
-		}
-		t.Run(d.name, func(t *testing.T) {
-			t.Parallel()
-			d.run(t)
-		})
-	}
-}
+func TestChangesDuringDisruptions(t *testing.T) { runDisruptions(t, rivals) }
 
 // TestChangesWithoutWatches guards against gateways that stay on an old state while the store
 // answers reads, but no watch, or watches of the leader with an old state.
 func TestChangesWithoutWatches(t *testing.T) {
-	for _, d := range []disruption{
+	runDisruptions(t, []disruption{
 		{name: "H3 no answers to any watch", begin: onAll(linkState{heldWatches: true}), end: compactAndReconnect},
 		{name: "H3 the leader's watches answered without the changes", begin: onLeader(linkState{mutedWatches: true}), end: compactAndReconnect},
-	} {
-		t.Run(d.name, func(t *testing.T) {
-			t.Parallel()
-			d.run(t)
-		})
+	})
+}
+
+// lose writes the entry of a worker a number of times. The writes are lost if the store then
+// comes back from a copy taken before.
+func (f *disrupted) lose(writes int) {
+	ids := f.callWorkers()
+	w := f.workers[ids[len(ids)-1]]
+	for range writes {
+		f.store.Put(platform.TargetPrefix+w.id, w.entry("ready"))
+	}
+}
+
+// away makes the store be away for half a second and come back from a copy.
+func (f *disrupted) away(earlier *platformtest.StoreCopy) {
+	f.store.SetFaults(platformtest.StoreFaults{ServiceUnavailable: true})
+	time.Sleep(250 * time.Millisecond)
+	f.store.Restore(earlier)
+	time.Sleep(250 * time.Millisecond)
+	f.store.SetFaults(platformtest.StoreFaults{})
+}
+
+// restored makes the store lose writes that were made in the given time.
+func restored(lost int, age time.Duration) func(*disrupted) {
+	return func(f *disrupted) {
+		earlier := f.store.Copy()
+		time.Sleep(age)
+		f.lose(lost)
+		time.Sleep(500 * time.Millisecond)
+		f.away(earlier)
 	}
 }
 
-// restored makes the store lose writes: it is away for half a second and comes back from an
-// older copy.
-func restored(lost int) func(*disrupted) {
+// restoredWhileFrozen makes the store lose writes while a gateway is frozen.
+func restoredWhileFrozen(leads bool) func(*disrupted) {
 	return func(f *disrupted) {
 		earlier := f.store.Copy()
-		ids := f.callWorkers()
-		w := f.workers[ids[len(ids)-1]]
-		for range lost {
-			f.store.Put(platform.TargetPrefix+w.id, w.entry("ready"))
-		}
+		f.lose(11)
 		time.Sleep(500 * time.Millisecond)
-		f.store.SetFaults(platformtest.StoreFaults{ServiceUnavailable: true})
-		time.Sleep(250 * time.Millisecond)
-		f.store.Restore(earlier)
+		frozen, reader := f.leader()
+		if !leads {
+			frozen = reader
+		}
+		f.freeze(frozen, 2*time.Second)
 		time.Sleep(250 * time.Millisecond)
-		f.store.SetFaults(platformtest.StoreFaults{})
+		f.away(earlier)
 	}
 }
 
+// restoredWhileConfigured makes the store lose a configuration that is just being applied,
+// which the operator writes again.
+func restoredWhileConfigured(f *disrupted) {
+	earlier := f.store.Copy()
+	f.lose(11)
+	time.Sleep(500 * time.Millisecond)
+	f.configure(func(config object) { config["limits"].(object)["idle_timeout_ms"] = 12000 })
+	f.away(earlier)
+	time.Sleep(time.Second)
+	f.putAgain(platform.ConfigKey)
+}
+
+// restores are the cases of a store that comes back from an older copy.
+func restores() []disruption {
+	var out []disruption
+	for _, lost := range []int{0, 2, 11, 199, 2000} {
+		out = append(out, disruption{name: fmt.Sprintf("H1 %d writes lost", lost), begin: restored(lost, 0)})
+	}
+	return append(out,
+		disruption{name: "H1 copy 20 s old", begin: restored(40, 20*time.Second), byHand: true},
+		disruption{name: "H1 leader frozen meanwhile", begin: restoredWhileFrozen(true)},
+		disruption{name: "H1 reader frozen meanwhile", begin: restoredWhileFrozen(false)},
+		disruption{name: "H1 during a change of the configuration", begin: restoredWhileConfigured},
+	)
+}
+
 // TestRestoredStoreWithProcesses guards against gateways that stay on their state for ever
 // once the store has returned from an older copy.
-func TestRestoredStoreWithProcesses(t *testing.T) {
-	for _, lost := range []int{0, 11, 199} {
-		d := disruption{name: fmt.Sprintf("H1 %d writes lost", lost), begin: restored(lost)}
+func TestRestoredStoreWithProcesses(t *testing.T) { runDisruptions(t, restores()) }
+
+// runDisruptions runs each disruption, those by hand only in long runs.
+func runDisruptions(t *testing.T, list []disruption) {
+	for i := range list {
+		d := &list[i]
+		if d.byHand && !longRuns() {
+			continue
+		}
 		t.Run(d.name, func(t *testing.T) {
 			t.Parallel()
 			d.run(t)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -51,6 +52,9 @@
 	begin   time.Time
 	// engines serve the streams, nil if plain workers do.
 	engines *engineFleet
+	drills  *drills
+	// versionRoutes makes each configuration add a route.
+	versionRoutes bool
 }
 
 func (f *fleet) note(format string, args ...any) {
@@ -63,7 +67,7 @@
 	t.Helper()
 	f := &fleet{
 		t: t, store: platformtest.NewStore(), log: newWorkerLog(), random: rand.New(rand.NewPCG(seed, 0)),
-		workers: map[string]*plainWorker{}, begin: time.Now(),
+		workers: map[string]*plainWorker{}, begin: time.Now(), drills: newDrills(),
 	}
 	t.Cleanup(f.store.Close)
 	for _, option := range options {
@@ -123,13 +127,25 @@
 		config["services"].([]object)[0]["engine"] = engineOptions()
 	}
 	change(config)
+	if f.versionRoutes {
+		for version := max(firstVersionRoute, f.version-maxVersionRoutes); version <= f.version; version++ {
+			config["routes"] = append(config["routes"].([]object), route(versionRoute(version), "idempotent", callService, callDeadline, 2))
+		}
+	}
 	data, err := json.Marshal(config)
 	if err != nil {
 		f.t.Error(err)
 	}
-	f.store.Put(platform.ConfigKey, data)
+	f.drills.mu.Lock()
+	// Before the write, so that a drill in between counts as one that loses it.
+	f.drills.configured[f.version] = time.Now()
+	f.drills.mu.Unlock()
+	f.put(platform.ConfigKey, data)
 }
 
+// maxVersionRoutes is the number of earlier configurations whose routes the next one keeps.
+const maxVersionRoutes = 20
+
 func (f *fleet) addWorker(service string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -142,7 +158,7 @@
 	}
 	f.t.Cleanup(func() { _ = w.server.Close() })
 	f.workers[id] = w
-	f.store.Put(platform.TargetPrefix+id, w.entry("ready"))
+	f.put(platform.TargetPrefix+id, w.entry("ready"))
 }
 
 // drainNotice is the time between the entry that says that a worker leaves and the removal
@@ -161,8 +177,11 @@
 	f.mu.Unlock()
 	f.note("worker %s leaves", leaving.id)
 	f.addWorker(leaving.service)
-	f.store.Put(platform.TargetPrefix+leaving.id, leaving.entry("draining"))
-	time.AfterFunc(drainNotice, func() { f.store.Delete(platform.TargetPrefix + leaving.id) })
+	f.drills.mu.Lock()
+	f.drills.left[leaving.id] = time.Now()
+	f.drills.mu.Unlock()
+	f.put(platform.TargetPrefix+leaving.id, leaving.entry("draining"))
+	time.AfterFunc(drainNotice, func() { f.remove(platform.TargetPrefix + leaving.id) })
 }
 
 // maxStall is the longest time for which a stalled process gets no processor time.
@@ -225,7 +244,13 @@
 	d := f.faultTime()
 	f.note("store fails for %v: %+v", d, faults)
 	f.store.SetFaults(faults)
-	time.AfterFunc(d, func() { f.store.SetFaults(platformtest.StoreFaults{}) })
+	from := time.Now()
+	time.AfterFunc(d, func() {
+		f.store.SetFaults(platformtest.StoreFaults{})
+		f.drills.mu.Lock()
+		defer f.drills.mu.Unlock()
+		f.drills.outages = append(f.drills.outages, outage{from: from, to: time.Now()})
+	})
 }
 
 // failWorker lets the calls of one worker fail for some time.
@@ -272,22 +297,30 @@
 func TestSoak(t *testing.T) {
 	for i := range *seedCount {
 		seed := *firstSeed + uint64(i)
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { runSoak(t, seed) })
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { runSoak(t, seed, *kinds, false) })
 	}
 }
 
 // maxQuietTime is the longest pause between two disturbances.
 const maxQuietTime = 1500 * time.Millisecond
 
-func runSoak(t *testing.T, seed uint64) {
+// runSoak runs one seed with the given kinds of disturbances, and with drills of the store
+// if they are asked for.
+func runSoak(t *testing.T, seed uint64, kinds string, drills bool) {
 	f := newFleet(t, seed, *gateways)
+	f.versionRoutes = true
 	end := time.Now().Add(*duration)
+	if drills {
+		f.store.SetEra(1)
+		go f.keepCopies(end)
+		go f.runDrills(rand.New(rand.NewPCG(seed, 1<<32)), end)
+	}
 	var mu sync.Mutex
 	var exchanges []exchange
 	var wg sync.WaitGroup
 	for n := range *clients {
 		random := rand.New(rand.NewPCG(seed, uint64(n)+1))
-		c := &client{number: n, gateways: f.gateways, random: random, streams: 0.2, splits: n%4 == 0, large: *large, leaves: *leaves, slow: *slow && n%5 == 0, maxThink: []time.Duration{20 * time.Millisecond, 300 * time.Millisecond, 3 * time.Second}[n%3]}
+		c := &client{number: n, gateways: f.gateways, random: random, streams: 0.2, splits: n%4 == 0, large: *large, leaves: *leaves, slow: *slow && n%5 == 0, maxThink: []time.Duration{20 * time.Millisecond, 300 * time.Millisecond, 3 * time.Second}[n%3], newestRoute: f.newestRoute}
 		wg.Go(func() {
 			c.run(end, func(e exchange) {
 				mu.Lock()
@@ -296,7 +329,7 @@
 			})
 		})
 	}
-	list := strings.Split(*kinds, ",")
+	list := strings.Split(kinds, ",")
 	for time.Now().Before(end.Add(-2 * time.Second)) {
 		// A third of the disturbances follow each other at once.
 		if f.random.IntN(3) > 0 {
@@ -319,7 +352,7 @@
 		}
 		byStatus[exchanges[i].status]++
 	}
-	findings := judge(exchanges, f.log)
+	findings := slices.Concat(judge(exchanges, f.log), f.judgeChanges(exchanges))
 	for _, g := range f.gateways {
 		h := g.history()
 		if len(h.ownEnds) > 0 || len(h.overdue) > 0 {
