--- a/internal/soak/restore_test.go
+++ b/internal/soak/restore_test.go
@@ -211,7 +211,7 @@
 	for key, item := range f.store.Items(feed.MemberPrefix) {
 		kvs = append(kvs, kvstore.KV{Key: key, Value: item.Value})
 	}
-	members.Reset(kvs, 1)
+	members.Reset(kvs, kvstore.Position{Revision: 1})
 	m := members.Leader()
 	if m == nil {
 		f.t.Fatal("no gateway is registered")
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +26,9 @@
 	maxRetryDelay = 10 * time.Second
 	// maxPendingWrites is the size of the queue of marks to be written.
 	maxPendingWrites = 1024
+	// rewriteSpread is the time over which processes write again what a restore of the store
+	// may have lost, so that their calls do not come at once.
+	rewriteSpread = 2 * time.Second
 )
 
 // Keeper is a table that is synchronized with the marks in the store. It is a
@@ -35,8 +40,13 @@
 	// watch is true if Serve also follows the store.
 	watch   bool
 	pending chan Mark
-	// storeUnavailable is used only by the goroutine that follows the store.
+	// storeUnavailable and restores are used only by the goroutine that follows the store.
 	storeUnavailable bool
+	restores         kvstore.RestoreDetector
+
+	writtenMu sync.Mutex
+	// written holds the fingerprints of the marks that this process has written.
+	written map[string]bool
 }
 
 // NewKeeper returns a keeper with an empty table. Its Serve method writes the
@@ -44,7 +54,7 @@
 // store. If watch is false, another reader of the store may call the keeper's
 // kvstore.Follower methods.
 func NewKeeper(store kvstore.Store, logger log.Logger, watch bool) *Keeper {
-	return &Keeper{Table: NewTable(), store: store, logger: logger, watch: watch, pending: make(chan Mark, maxPendingWrites)}
+	return &Keeper{Table: NewTable(), store: store, logger: logger, watch: watch, pending: make(chan Mark, maxPendingWrites), written: map[string]bool{}}
 }
 
 // Enqueue queues marks to be written to the store, with retries until the store
@@ -102,6 +112,8 @@
 		case <-ctx.Done():
 			return
 		case m := <-k.pending:
+			// Before the write, so that a restore during it does not miss the mark.
+			k.markWritten(m.Fingerprint)
 			for failures := 1; ctx.Err() == nil; failures++ {
 				if Put(ctx, k.store, m) == nil {
 					break
@@ -112,6 +124,29 @@
 	}
 }
 
+// markWritten remembers that this process has written a mark.
+func (k *Keeper) markWritten(fingerprint string) {
+	k.writtenMu.Lock()
+	defer k.writtenMu.Unlock()
+	if len(k.written) >= maxPendingWrites {
+		maps.DeleteFunc(k.written, func(f string, _ bool) bool { _, ok := k.find(f); return !ok })
+	}
+	k.written[fingerprint] = true
+}
+
+// writtenMarks returns the marks that this process has written and that have not expired.
+func (k *Keeper) writtenMarks() []Mark {
+	k.writtenMu.Lock()
+	defer k.writtenMu.Unlock()
+	var marks []Mark
+	for f := range k.written {
+		if m, ok := k.find(f); ok {
+			marks = append(marks, m)
+		}
+	}
+	return marks
+}
+
 // errWriteConflict means that another process changed the mark between the read
 // and the write.
 var errWriteConflict = errors.New("write mark: concurrently changed by another process")
@@ -119,6 +154,7 @@
 // Put merges a mark into the stored mark of its content. It fails if another
 // process changes the stored mark at the same time; the caller may retry.
 func Put(ctx context.Context, store kvstore.Store, m Mark) error {
+	era := store.Era()
 	kv, err := store.Get(ctx, Prefix+m.Fingerprint)
 	if err != nil {
 		return err
@@ -145,6 +181,7 @@
 		return err
 	}
 	resp, err := store.Commit(ctx, kvstore.Txn{
+		Era:      era,
 		Compares: []kvstore.Compare{{Key: Prefix + m.Fingerprint, ModRevision: revision}},
 		Ops:      []kvstore.Op{{Key: Prefix + m.Fingerprint, Value: data, Lease: lease}},
 	})
--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync"
@@ -55,6 +57,13 @@
 	// waiting holds the requests whose answers have not begun.
 	waiting  map[*PartRequest]bool
 	verdicts atomic.Pointer[partVerdicts]
+	// written holds the parts whose evidence this process has written. restoredAt is when the
+	// store was last found restored, zero if never; era is that of the last list.
+	written    map[string]bool
+	restoredAt time.Time
+	era        int64
+	// restores is used only by the goroutine that follows the store.
+	restores kvstore.RestoreDetector
 }
 
 // PartRequest is a request that runs at a target and whose answer has not begun.
@@ -73,17 +82,34 @@
 func NewPartKeeper(store kvstore.Store, logger log.Logger, send PartSender) *PartKeeper {
 	k := &PartKeeper{
 		store: store, logger: logger, send: send, pending: make(chan string, maxPendingParts),
-		history: decision.NewPartHistory(), trials: map[string]int64{}, waiting: map[*PartRequest]bool{},
+		history: decision.NewPartHistory(), trials: map[string]int64{}, waiting: map[*PartRequest]bool{}, written: map[string]bool{},
 	}
 	k.verdicts.Store(&partVerdicts{})
 	return k
 }
 
-// Reset implements kvstore.Follower. Evidence that is missing from the store is kept.
-func (k *PartKeeper) Reset(kvs []kvstore.KV, _ int64) {
+// Reset implements kvstore.Follower. Evidence that is missing from the store is kept. After
+// a restore of the store, what this process has written is written again.
+func (k *PartKeeper) Reset(kvs []kvstore.KV, position kvstore.Position) {
 	for i := range kvs {
 		k.mergeEncoded(&kvs[i])
 	}
+	isRestored := k.restores.Reset(position)
+	k.mu.Lock()
+	k.era = position.Era
+	if !isRestored {
+		k.mu.Unlock()
+		return
+	}
+	k.restoredAt = time.Now()
+	parts := slices.Collect(maps.Keys(k.written))
+	k.mu.Unlock()
+	telemetry.Warn(k.logger, "store restored", "following", "prompt parts", "era", position.Era, "rewritten", len(parts))
+	time.AfterFunc(rand.N(rewriteSpread), func() {
+		for _, part := range parts {
+			k.enqueue(part)
+		}
+	})
 }
 
 // Apply implements kvstore.Follower.
@@ -141,11 +167,16 @@
 	}
 	k.send(shared)
 	for _, e := range shared {
-		select {
-		case k.pending <- e.Part:
-		default:
-			telemetry.Warn(k.logger, "part evidence not stored, write queue full", "part", e.Part)
-		}
+		k.enqueue(e.Part)
+	}
+}
+
+// enqueue queues the evidence of a part to be written to the store.
+func (k *PartKeeper) enqueue(part string) {
+	select {
+	case k.pending <- part:
+	default:
+		telemetry.Warn(k.logger, "part evidence not stored, write queue full", "part", part)
 	}
 }
 
@@ -213,7 +244,8 @@
 }
 
 // ClaimTrial reports whether one request with a quarantined part may run now as a trial. Among
-// all processes, one gets each trial; without the store, none does.
+// all processes, one gets each trial; without the store, none does. A restore of the store may
+// have lost the claims of the trials that were due before it, so none of these is claimed.
 func (k *PartKeeper) ClaimTrial(ctx context.Context, part string, h decision.QuarantinedPart) bool {
 	id, ok := h.Trial(time.Now())
 	if !ok {
@@ -222,8 +254,10 @@
 	k.mu.Lock()
 	isFirst := k.trials[part] != id
 	k.trials[part] = id
+	mayBeLost := !k.restoredAt.IsZero() && id <= k.restoredAt.UnixMilli()
+	listedEra := k.era
 	k.mu.Unlock()
-	if !isFirst {
+	if !isFirst || mayBeLost {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, trialClaimTimeout)
@@ -234,7 +268,7 @@
 		return false
 	}
 	resp, err := k.store.Commit(ctx, kvstore.Txn{
-		Compares: []kvstore.Compare{{Key: key}}, Ops: []kvstore.Op{{Key: key, Value: []byte("{}"), Lease: lease}},
+		Era: listedEra, Compares: []kvstore.Compare{{Key: key}}, Ops: []kvstore.Op{{Key: key, Value: []byte("{}"), Lease: lease}},
 	})
 	won := err == nil && resp.Applied
 	telemetry.Info(k.logger, "prompt part trial", "part", part, "crashes", h.Crashes, "won", won, "err", err)
@@ -249,6 +283,8 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case part := <-k.pending:
+			// Before the write, so that a restore during it does not miss the part.
+			k.markWritten(part)
 			for failures := 1; ctx.Err() == nil; failures++ {
 				if k.put(ctx, part) == nil {
 					break
@@ -259,6 +295,16 @@
 	}
 }
 
+// markWritten remembers that this process has written the evidence of a part.
+func (k *PartKeeper) markWritten(part string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(k.written) >= maxPendingParts {
+		maps.DeleteFunc(k.written, func(p string, _ bool) bool { return len(k.history.Evidence(p).Crashes) == 0 })
+	}
+	k.written[part] = true
+}
+
 // String names the service in the supervisor's log.
 func (k *PartKeeper) String() string { return "prompt parts" }
 
@@ -267,6 +313,7 @@
 	k.mu.Lock()
 	evidence := k.history.Evidence(part)
 	k.mu.Unlock()
+	era := k.store.Era()
 	kv, err := k.store.Get(ctx, PartPrefix+part)
 	if err != nil {
 		return err
@@ -290,6 +337,7 @@
 		return err
 	}
 	resp, err := k.store.Commit(ctx, kvstore.Txn{
+		Era:      era,
 		Compares: []kvstore.Compare{{Key: PartPrefix + part, ModRevision: revision}},
 		Ops:      []kvstore.Op{{Key: PartPrefix + part, Value: data, Lease: lease}},
 	})
