--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -21,6 +21,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/quetzalglade/quetzalglade/internal/connend"
 	"github.com/quetzalglade/quetzalglade/internal/httphead"
 )
 
@@ -60,8 +61,8 @@
 	reused bool
 	// expires is the time after which the pool no longer reuses the connection.
 	expires time.Time
-	// writeResult receives the error of the last request's write.
-	writeResult chan error
+	// writes records the writes of the requests.
+	writes connend.Writes
 }
 
 // asyncWriteBytes is the smallest size of an encoded request that Send writes in a
@@ -155,23 +156,22 @@
 		return errors.Wrap(err, "encode header")
 	}
 	buf.WriteString("\r\n")
-	c.writeResult = make(chan error, 1)
+	c.writes.BeginRequest()
 	if buf.Len()+bodyLen < asyncWriteBytes {
 		for _, piece := range r.Body {
 			buf.Write(piece)
 		}
 		_, err := c.net.Write(buf.Bytes())
 		r.wrote(err)
-		c.writeResult <- err
+		c.writes.EndRequest(err)
 		return errors.Wrap(err, "write request")
 	}
 	// The body is not copied. WriteTo changes the slice of pieces, so it gets its own.
 	message := append(net.Buffers{buf.Bytes()}, r.Body...)
-	result := c.writeResult
 	go func() {
 		_, err := message.WriteTo(c.net)
 		r.wrote(err)
-		result <- err
+		c.writes.EndRequest(err)
 	}()
 	return nil
 }
@@ -187,7 +187,8 @@
 
 // Receive reads the status line and the header of the next final response and
 // skips informational ones. The method is that of the request. A head that is not
-// valid by HTTP/1.1 is an error.
+// valid by HTTP/1.1 is an error. So is the end of a body that ends with the connection if the
+// connection was broken off while the request was being written: the body may be incomplete.
 func (c *Conn) Receive(method string) (*http.Response, error) {
 	req := &http.Request{Method: method}
 	buffered, _ := c.reader.Peek(c.reader.Buffered())
@@ -206,24 +207,46 @@
 		if !c.input.head.Valid() {
 			return nil, errors.Wrap(httphead.ErrInvalid, "read response: the head has not ended")
 		}
+		if resp.Body != http.NoBody && !isDelimited(resp) {
+			resp.Body = &undelimitedBody{ReadCloser: resp.Body, conn: c}
+		}
 		return resp, nil
 	}
 	return nil, errors.New("too many informational (1xx) responses before the final one")
 }
 
+// isDelimited reports whether a response states where its body ends.
+func isDelimited(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
+// undelimitedBody is a body that ends with its connection.
+type undelimitedBody struct {
+	io.ReadCloser
+	conn *Conn
+	// end is the error at the end of the body, nil before.
+	end error
+}
+
+// Read implements io.Reader. It returns io.EOF only if the body is complete.
+func (b *undelimitedBody) Read(p []byte) (int, error) {
+	if b.end != nil {
+		return 0, b.end
+	}
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		if broken := b.conn.writes.Check(b.conn.net); broken != nil {
+			err = broken
+		}
+		b.end = err
+	}
+	return n, err
+}
+
 // Reusable reports whether the connection can carry another request after a
 // response whose body was read to its end.
 func (c *Conn) Reusable(resp *http.Response) bool {
-	select {
-	case err := <-c.writeResult:
-		if err != nil {
-			return false
-		}
-	default:
-		return false
-	}
-	hasDelimitedBody := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	return hasDelimitedBody && !resp.Close && c.reader.Buffered() == 0
+	return c.writes.IsWritten() && isDelimited(resp) && !resp.Close && c.reader.Buffered() == 0
 }
 
 // Buffered returns the number of bytes that have been received and not read yet. Further
--- a/internal/platformtest/worker.go
+++ b/internal/platformtest/worker.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -69,6 +70,8 @@
 	Resume <-chan struct{}
 	// TruncateResponse truncates a response that has a length.
 	TruncateResponse bool
+	// Early, if not nil, is what the worker answers before it has read the request's body.
+	Early *EarlyAnswer
 }
 
 // MoveFault defines how a worker fails on one call that stops a run and moves its KV cache.
@@ -218,9 +221,15 @@
 func NewWorkerSet() *WorkerSet { return &WorkerSet{byAddr: map[string]*Worker{}} }
 
 // Start starts a worker and adds it to the set.
-func (ws *WorkerSet) Start(id string) *Worker {
+func (ws *WorkerSet) Start(id string) *Worker { return ws.StartAt(id, NewListener()) }
+
+// StartAt is like Start for a worker that accepts connections at a listener.
+func (ws *WorkerSet) StartAt(id string, l net.Listener) *Worker {
 	w := &Worker{ID: id, Events: 5, EventInterval: time.Millisecond, kvCopies: map[string]bool{}, streams: map[string]*streamRun{}, closed: make(chan struct{}), workers: ws}
-	w.server = httptest.NewServer(http.HandlerFunc(w.serve))
+	w.server = httptest.NewUnstartedServer(http.HandlerFunc(w.serve))
+	_ = w.server.Listener.Close()
+	w.server.Listener = l
+	w.server.Start()
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
 	ws.byAddr[w.Addr()] = w
@@ -643,6 +652,10 @@
 		return
 	}
 	f := w.nextFault()
+	if f.Early != nil {
+		w.serveEarly(rw, r, *f.Early)
+		return
+	}
 	from, canRun := w.startEvent(r)
 	if f.Reject || !canRun && !f.RunsWithoutCopy {
 		w.reject(rw, r, f)
@@ -862,6 +875,20 @@
 	_ = buf.Flush()
 }
 
+// serveEarly runs a request and answers before it has read the body.
+func (w *Worker) serveEarly(rw http.ResponseWriter, r *http.Request, a EarlyAnswer) {
+	id := r.Header.Get("X-Request-Id")
+	w.mu.Lock()
+	w.runs = append(w.runs, Run{ID: id, Path: r.RequestURI, Header: r.Header.Clone(), At: time.Now()})
+	w.mu.Unlock()
+	conn, buf, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	a.Text = strings.ReplaceAll(a.Text, "{id}", id)
+	a.Serve(conn, io.LimitReader(buf, r.ContentLength))
+}
+
 // serveRaw sends a text and closes the connection.
 func serveRaw(rw http.ResponseWriter, text string) {
 	conn, _, err := http.NewResponseController(rw).Hijack()
