--- a/internal/httpclient/early_test.go
+++ b/internal/httpclient/early_test.go
@@ -111,6 +111,19 @@
 	}
 }
 
+// Guards against a part of an answer that is taken for complete because the connection ended
+// without the end of TLS on it.
+func TestAnswerThatEndsWithoutTheEndOfTLS(t *testing.T) {
+	convey.Convey("The end of a connection without the end of TLS does not end an answer", t, func() {
+		a := platformtest.EarlyAnswer{Text: "HTTP/1.1 200 OK\r\n\r\n" + platformtest.EarlyPart, ReadsOn: true, AfterBody: true, End: platformtest.CutTLS}
+		convey.So(countComplete(t, true, false, a), convey.ShouldEqual, 0)
+	})
+	convey.Convey("An answer with a length does not need the end of TLS", t, func() {
+		a := platformtest.EarlyAnswer{Text: "HTTP/1.1 200 OK\r\nContent-Length: 1024\r\n\r\n" + platformtest.EarlyPart, ReadsOn: true, AfterBody: true, End: platformtest.CutTLS}
+		convey.So(countComplete(t, true, false, a), convey.ShouldEqual, earlyRuns)
+	})
+}
+
 // Guards against an early answer that states its length, is whole and is not received because
 // the connection ends in order before the request was written.
 func TestEarlyAnswerWithALengthIsReceived(t *testing.T) {
--- a/internal/httpclient/headcheck.go
+++ b/internal/httpclient/headcheck.go
@@ -1,6 +1,7 @@
 package httpclient
 
 import (
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -14,10 +15,20 @@
 	"github.com/quetzalglade/quetzalglade/internal/httphead"
 )
 
-// wireConn is a connection, below TLS if that is used, whose writes are recorded.
+// wireConn is a connection, below TLS if that is used, whose writes and end are recorded.
 type wireConn struct {
 	net.Conn
 	writes connend.Writes
+	ended  atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *wireConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		c.ended.Store(true)
+	}
+	return n, err
 }
 
 // Write implements net.Conn.
@@ -78,13 +89,25 @@
 		return 0, err
 	}
 	if errors.Is(err, io.EOF) && c.endsBody() {
-		if broken := c.wire.writes.Check(c.wire.Conn); broken != nil {
+		if broken := c.checkEnd(); broken != nil {
 			err = broken
 		}
 	}
 	return n, err
 }
 
+var errNoEndOfTLS = errors.New("the connection has ended without the end of TLS on it (close_notify)")
+
+// checkEnd returns an error if a body that ends with the connection may be incomplete.
+func (c *headConn) checkEnd() error {
+	// crypto/tls takes the end of the connection for that of TLS if it comes between records.
+	// RFC 9112 (9.8) asks clients to take such a body for incomplete.
+	if _, isTLS := c.Conn.(*tls.Conn); isTLS && c.wire.ended.Load() {
+		return errNoEndOfTLS
+	}
+	return c.wire.writes.Check(c.wire.Conn)
+}
+
 // headTransport is a transport whose connections are of type headConn.
 type headTransport struct{ *http.Transport }
 
