--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -11,6 +11,7 @@
 
 	"github.com/quetzalglade/quetzalglade/decision"
 	"github.com/quetzalglade/quetzalglade/internal/demo"
+	"github.com/quetzalglade/quetzalglade/internal/httpclient"
 	"github.com/quetzalglade/quetzalglade/internal/standin"
 	"github.com/quetzalglade/quetzalglade/internal/wan"
 )
@@ -73,6 +74,12 @@
 // each entry.
 const idleConnsPerEntry = 4096
 
+// newClient returns the client of the load tool. It takes the same answers for complete as the
+// daemons' clients.
+func newClient() *http.Client {
+	return httpclient.New(httpclient.Options{IdlePerHost: idleConnsPerEntry})
+}
+
 // Do executes one run.
 func Do(ctx context.Context, opts Options) (*Run, error) {
 	d := &opts.Deployment
@@ -86,9 +93,9 @@
 	if opts.WithoutLong {
 		schedule = withoutLong(schedule)
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: idleConnsPerEntry}
-	defer transport.CloseIdleConnections()
-	s := &sender{urls: urls, client: &http.Client{Transport: transport}, start: time.Now(), maxRetries: opts.ImmediateRetries}
+	client := newClient()
+	defer client.CloseIdleConnections()
+	s := &sender{urls: urls, client: client, start: time.Now(), maxRetries: opts.ImmediateRetries}
 	stop := injectFaults(&opts, fleet, network)
 	figures := s.sendAll(ctx, schedule, &opts)
 	stop()
