--- a/internal/httpclient/early_test.go
+++ b/internal/httpclient/early_test.go
@@ -1,7 +1,6 @@
 package httpclient
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"crypto/tls"
@@ -37,20 +36,7 @@
 		scheme = "https://"
 	}
 	defer func() { _ = l.Close() }()
-	var served sync.WaitGroup
-	defer served.Wait()
-	served.Go(func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		req, err := http.ReadRequest(bufio.NewReaderSize(c, 512))
-		if err != nil {
-			_ = c.Close()
-			return
-		}
-		a.Serve(c, req.Body)
-	})
+	go platformtest.ServeEarly(l, a)
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	client := New(opts)
--- a/internal/httpwire/early_test.go
+++ b/internal/httpwire/early_test.go
@@ -1,7 +1,6 @@
 package httpwire
 
 import (
-	"bufio"
 	"context"
 	"net/http"
 	"sync"
@@ -24,20 +23,7 @@
 	t.Helper()
 	l := platformtest.ListenEarly()
 	defer func() { _ = l.Close() }()
-	var served sync.WaitGroup
-	defer served.Wait()
-	served.Go(func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		req, err := http.ReadRequest(bufio.NewReaderSize(c, 512))
-		if err != nil {
-			_ = c.Close()
-			return
-		}
-		a.Serve(c, req.Body)
-	})
+	go platformtest.ServeEarly(l, a)
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	conn, err := NewPool(PoolOptions{DialTimeout: 5 * time.Second}).Get(ctx, l.Addr().String())
--- a/internal/load/early_test.go
+++ b/internal/load/early_test.go
@@ -1,9 +1,7 @@
 package load
 
 import (
-	"bufio"
 	"context"
-	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -21,22 +19,7 @@
 		convey.Convey("An answer that ends with its connection: "+a.Name, t, func() {
 			l := platformtest.ListenEarly()
 			defer func() { _ = l.Close() }()
-			go func() {
-				for {
-					c, err := l.Accept()
-					if err != nil {
-						return
-					}
-					go func() {
-						req, err := http.ReadRequest(bufio.NewReaderSize(c, 512))
-						if err != nil {
-							_ = c.Close()
-							return
-						}
-						a.Serve(c, req.Body)
-					}()
-				}
-			}()
+			go platformtest.ServeEarly(l, a)
 			client := newClient()
 			defer client.CloseIdleConnections()
 			s := &sender{urls: []string{"http://" + l.Addr().String()}, client: client, start: time.Now()}
--- a/internal/platformtest/early.go
+++ b/internal/platformtest/early.go
@@ -1,10 +1,12 @@
 package platformtest
 
 import (
+	"bufio"
 	"context"
 	"crypto/tls"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"syscall"
 	"time"
@@ -99,6 +101,25 @@
 	}
 }
 
+// ServeEarly answers each request on the connections of a listener, which may use TLS, with a,
+// until the listener is closed.
+func ServeEarly(l net.Listener, a EarlyAnswer) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			req, err := http.ReadRequest(bufio.NewReaderSize(c, 512))
+			if err != nil {
+				_ = c.Close()
+				return
+			}
+			a.Serve(c, req.Body)
+		}()
+	}
+}
+
 // Serve answers a request on a connection, with or without TLS. The body reads the body of the
 // request from it.
 func (a EarlyAnswer) Serve(conn net.Conn, body io.Reader) {
