--- a/internal/connend/connend.go
+++ b/internal/connend/connend.go
@@ -76,17 +76,20 @@
 
 // IsWritten reports whether the current request was written in full and no write has failed.
 func (w *Writes) IsWritten() bool {
-	isPending, err, _ := w.state()
-	return !isPending && err == nil
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.isPending() && w.err == nil
 }
 
-func (w *Writes) state() (isPending bool, err error, changed <-chan struct{}) {
+func (w *Writes) isPending() bool { return w.isRequestPending || w.inProgress > 0 }
+
+func (w *Writes) state() (isPending bool, changed <-chan struct{}, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.changed == nil {
 		w.changed = make(chan struct{})
 	}
-	return w.isRequestPending || w.inProgress > 0, w.err, w.changed
+	return w.isPending(), w.changed, w.err
 }
 
 // resetDelay is how long the reset of a connection may follow its end. A process that ends, or
@@ -107,7 +110,7 @@
 	defer ticker.Stop()
 	for start := time.Now(); ; {
 		isLate := time.Since(start) >= resetDelay
-		isPending, err, changed := w.state()
+		isPending, changed, err := w.state()
 		// The system's buffer may hold the end of a request that was written in full.
 		isClosed, unacknowledged := inspect(conn)
 		switch {
