--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -59,6 +59,11 @@
 	history     []storeEvent
 	leases      map[int64]*lease
 	lastLeaseID int64
+	// compacted is the last revision whose history is gone.
+	compacted           int64
+	clusterID, memberID uint64
+	// restores counts the restores. A call that began before one is aborted.
+	restores int
 	// changed is closed and replaced at every change.
 	changed      chan struct{}
 	faults       StoreFaults
@@ -70,7 +75,10 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{revision: 1, keys: map[string]keyValue{}, leases: map[int64]*lease{}, changed: make(chan struct{})}
+	return &Store{
+		revision: 1, clusterID: firstClusterID, memberID: firstMemberID,
+		keys: map[string]keyValue{}, leases: map[int64]*lease{}, changed: make(chan struct{}),
+	}
 }
 
 // SetFaults replaces the injected faults.
@@ -117,6 +125,7 @@
 		now := time.Now()
 		s.mu.Lock()
 		f := s.faults
+		restores := s.restores
 		s.arrivals.add(now)
 		wait := s.reserve(r.URL.Path, now)
 		s.mu.Unlock()
@@ -124,6 +133,12 @@
 			abort(w)
 		}
 		time.Sleep(wait + time.Duration(f.DelayMillis)*time.Millisecond)
+		s.mu.Lock()
+		isRestored := s.restores != restores
+		s.mu.Unlock()
+		if isRestored {
+			abort(w)
+		}
 		next.ServeHTTP(w, r)
 	})
 }
@@ -146,7 +161,9 @@
 }
 
 type header struct {
-	Revision int64 `json:"revision,string"`
+	ClusterID uint64 `json:"cluster_id,string"`
+	MemberID  uint64 `json:"member_id,string"`
+	Revision  int64  `json:"revision,string"`
 }
 
 type rangeRequest struct {
@@ -188,7 +205,7 @@
 }
 
 func (s *Store) findRange(req rangeRequest) rangeResponse {
-	out := rangeResponse{Header: header{s.revision}}
+	out := rangeResponse{Header: s.header()}
 	for k, e := range s.keys {
 		if req.covers(k) {
 			out.KVs = append(out.KVs, e)
@@ -270,7 +287,7 @@
 	for _, op := range ops {
 		out.Responses = append(out.Responses, s.apply(op))
 	}
-	out.Header.Revision = s.revision
+	out.Header = s.header()
 	return out
 }
 
--- a/internal/standin/storelease.go
+++ b/internal/standin/storelease.go
@@ -27,18 +27,23 @@
 	TTL int64 `json:"TTL,string"`
 }
 
+type leaseResponse struct {
+	Header header `json:"header"`
+	leaseMessage
+}
+
 func (s *Store) handleGrant(w http.ResponseWriter, r *http.Request) {
 	serveLocked(s, w, r, &s.counts.Leases, func(req *leaseMessage) any {
 		s.lastLeaseID++
 		ttl := time.Duration(req.TTL) * time.Second
 		s.leases[s.lastLeaseID] = &lease{ttl: ttl, expires: time.Now().Add(ttl)}
-		return leaseMessage{ID: s.lastLeaseID, TTL: req.TTL}
+		return leaseResponse{s.header(), leaseMessage{ID: s.lastLeaseID, TTL: req.TTL}}
 	})
 }
 
 func (s *Store) handleKeepAlive(w http.ResponseWriter, r *http.Request) {
 	serveLocked(s, w, r, &s.counts.Leases, func(req *leaseMessage) any {
-		out := leaseMessage{ID: req.ID}
+		out := leaseResponse{s.header(), leaseMessage{ID: req.ID}}
 		if l, ok := s.leases[req.ID]; ok {
 			l.expires = time.Now().Add(l.ttl)
 			out.TTL = int64(l.ttl / time.Second)
@@ -52,6 +57,6 @@
 		if _, ok := s.leases[req.ID]; ok {
 			s.endLease(req.ID)
 		}
-		return struct{}{}
+		return leaseResponse{Header: s.header()}
 	})
 }
--- a/internal/standin/storewatch.go
+++ b/internal/standin/storewatch.go
@@ -15,9 +15,13 @@
 }
 
 type watchResult struct {
-	Header  header       `json:"header"`
-	Created bool         `json:"created,omitempty"`
-	Events  []storeEvent `json:"events,omitempty"`
+	Header  header `json:"header"`
+	Created bool   `json:"created,omitempty"`
+	// Canceled is set in the last response. CompactRevision is then the revision up to which
+	// the history is gone.
+	Canceled        bool         `json:"canceled,omitempty"`
+	CompactRevision int64        `json:"compact_revision,string,omitempty"`
+	Events          []storeEvent `json:"events,omitempty"`
 }
 
 // leaseCheckInterval is how often an idle watch checks for expired leases.
@@ -33,26 +37,37 @@
 	enc := json.NewEncoder(w)
 	rc := http.NewResponseController(w)
 	first := true
+	restores := 0
 	for {
 		s.mu.Lock()
 		if first {
 			s.counts.Watches++
+			restores = s.restores
 		}
-		abortCalls := s.faults.AbortCalls
+		abortCalls := s.faults.AbortCalls || s.restores != restores
 		s.expire(time.Now())
 		events := s.eventsSince(keyRange, nextRevision)
-		revision := s.revision
+		header, revision, compacted := s.header(), s.revision, s.compacted
 		changed := s.changed
 		s.mu.Unlock()
 		if abortCalls {
 			abort(w)
 		}
+		isCompacted := first && nextRevision > 0 && nextRevision <= compacted
+		if isCompacted {
+			events = nil
+		}
 		if first || len(events) > 0 {
-			out := watchResult{Header: header{revision}, Created: first, Events: events}
+			out := watchResult{Header: header, Created: first, Events: events}
 			if enc.Encode(map[string]any{"result": out}) != nil || rc.Flush() != nil {
 				return
 			}
 		}
+		if isCompacted {
+			out := watchResult{Header: header, Canceled: true, CompactRevision: compacted}
+			_ = enc.Encode(map[string]any{"result": out})
+			return
+		}
 		first = false
 		nextRevision = max(nextRevision, revision+1)
 		select {
