--- a/kvstore/era.go
+++ b/kvstore/era.go
@@ -5,14 +5,15 @@
 // eraTracker finds restores of an etcd cluster from a snapshot. etcd states no order of
 // them, so an era is a count of this process and must not be compared between processes.
 //
-// A restore shows in another cluster ID, or in a revision that is lower than that of an
-// earlier linearizable response. A restored cluster with the same ID whose revision has
-// reached the earlier one before the next response is not recognised.
+// A restore shows in another cluster ID, or in a linearizable response whose revision is lower
+// than that of an earlier response. A restored cluster with the same ID whose revision has
+// reached the earlier one before the next linearizable response is not recognised.
 type eraTracker struct {
 	mu        sync.Mutex
 	era       int64
 	clusterID string
-	// revision is the highest revision of a linearizable response in this era.
+	// revision is the highest revision of a response in this era. A watch too reports only
+	// revisions that the cluster has committed, which no later linearizable response is below.
 	revision int64
 }
 
@@ -43,8 +44,6 @@
 	if h.ClusterID != "" {
 		t.clusterID = h.ClusterID
 	}
-	if linearizable {
-		t.revision = max(t.revision, h.Revision)
-	}
+	t.revision = max(t.revision, h.Revision)
 	return t.era
 }
