--- a/configsync/follower.go
+++ b/configsync/follower.go
@@ -7,6 +7,7 @@
 package configsync
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"sync"
@@ -61,8 +62,13 @@
 	failedPeers *failedAddrs
 
 	mu sync.Mutex
-	// refused is the highest version that was refused because it is invalid.
-	refused int64
+	// refused is the highest version that was refused because it is invalid, and
+	// refusedManifest its manifest. After a restore of the store, another manifest may have
+	// its number.
+	refused         int64
+	refusedManifest []byte
+	// replaced holds the nonces of the last manifests that were replaced here.
+	replaced []string
 	// changed is closed when a higher version is adopted.
 	changed chan struct{}
 }
@@ -72,6 +78,7 @@
 type snapshot struct {
 	// manifest is the encoded manifest.
 	manifest []byte
+	decoded  config.Manifest
 	config   *config.Config
 	// documents maps digests to encoded documents.
 	documents map[string][]byte
@@ -194,6 +201,13 @@
 	return f.refused
 }
 
+// isRefused reports whether a manifest is below the refused one, or that one.
+func (f *Follower) isRefused(version int64, manifest []byte) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return version < f.refused || (version == f.refused && bytes.Equal(manifest, f.refusedManifest))
+}
+
 // errInvalid marks errors of a configuration that cannot be built.
 var errInvalid = errors.New("invalid configuration")
 
@@ -206,7 +220,7 @@
 	if err := json.Unmarshal(manifest, &m); err != nil {
 		return errors.Wrap(err, "decode manifest")
 	}
-	if m.Version <= f.Version() || m.Version <= f.refusedVersion() {
+	if m.Version <= f.Version() || f.isRefused(m.Version, manifest) {
 		return nil
 	}
 	documents, err := f.collect(ctx, &m, sources)
@@ -216,15 +230,18 @@
 	next, err := build(manifest, &m, documents)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if m.Version <= f.Version() || m.Version <= f.refused {
+	if m.Version <= f.Version() {
 		return nil
 	}
 	if err != nil {
-		f.refused = m.Version
+		f.refused, f.refusedManifest = max(m.Version, f.refused), manifest
 		telemetry.Warn(f.opts.Logger, "configuration refused", "config_version", m.Version, "in_force", f.Version(), "err", err)
 		return nil
 	}
-	f.current.Store(next)
+	if before := f.current.Swap(next); before != nil && before.decoded.Nonce != "" {
+		f.replaced = append(f.replaced, before.decoded.Nonce)
+		f.replaced = f.replaced[max(len(f.replaced)-maxReplaced, 0):]
+	}
 	close(f.changed)
 	f.changed = make(chan struct{})
 	telemetry.Info(f.opts.Logger, "configuration in force", "config_version", m.Version)
@@ -244,7 +261,7 @@
 	if err != nil {
 		return nil, errors.Mark(err, errInvalid)
 	}
-	return &snapshot{manifest: manifest, config: cfg, documents: documents}, nil
+	return &snapshot{manifest: manifest, decoded: *m, config: cfg, documents: documents}, nil
 }
 
 // await blocks until the version in force is higher than the given one or ctx
--- a/configsync/run.go
+++ b/configsync/run.go
@@ -1,8 +1,10 @@
 package configsync
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -145,6 +147,11 @@
 			if err := f.apply(ctx, batch, p.watcherAddrs); err != nil {
 				return err
 			}
+			if f.isBehindAfterRestore(batch.Events) {
+				if _, err := f.reread(ctx, p.watcherAddrs); err != nil {
+					return err
+				}
+			}
 		case <-reread.C:
 			if _, err := f.reread(ctx, p.watcherAddrs); err != nil {
 				return err
@@ -176,22 +183,40 @@
 	return nil
 }
 
-// reread reads and adopts the manifest in the store. It returns the store's
-// position.
+// isBehindAfterRestore reports whether a change after a restore of the store has a manifest that
+// is not above the one in force.
+func (f *Follower) isBehindAfterRestore(events []kvstore.Event) bool {
+	if f.opts.Store.Era() == 0 {
+		return false
+	}
+	own := f.current.Load()
+	return own != nil && slices.ContainsFunc(events, func(e kvstore.Event) bool {
+		return e.KV.Key == ManifestKey && !bytes.Equal(e.KV.Value, own.manifest)
+	})
+}
+
+// reread reads and adopts the manifest in the store. If the store has an older one, reread
+// writes the one in force again. It returns the store's position.
 func (f *Follower) reread(ctx context.Context, preceding []string) (kvstore.Position, error) {
+	own := f.current.Load()
 	kvs, position, err := f.opts.Store.Range(ctx, ManifestKey)
 	if err != nil {
 		return kvstore.Position{}, err
 	}
-	for _, kv := range kvs {
-		if kv.Key != ManifestKey {
+	var stored *kvstore.KV
+	for i := range kvs {
+		if kvs[i].Key != ManifestKey {
 			continue
 		}
-		if err := f.adopt(ctx, kv.Value, f.sources(preceding)...); err != nil {
+		stored = &kvs[i]
+		if err := f.adopt(ctx, stored.Value, f.sources(preceding)...); err != nil {
 			return kvstore.Position{}, err
 		}
 	}
-	return position, nil
+	if own != nil {
+		err = f.reconcile(ctx, own, stored, position.Era)
+	}
+	return position, err
 }
 
 // sources returns the sources of a watcher's documents: the region's first
