--- a/operator/publish.go
+++ b/operator/publish.go
@@ -38,6 +38,8 @@
 	revision int64
 	// era is that of the store in which revision was read.
 	era int64
+	// documents holds the encoded documents of the manifest by digest.
+	documents map[string][]byte
 }
 
 // CurrentManifest reads the current manifest and its revision in the store. If the
@@ -62,7 +64,10 @@
 // it read at the start. If a concurrent publication came first, it returns
 // result.VersionConflict with that publication's author. If the reply to the
 // swap is lost, it polls the history entry of the version until ctx ends, and
-// then returns result.StoreUnavailable because the outcome is unknown.
+// then returns result.StoreUnavailable because the outcome is unknown. If the store
+// was restored from an older copy meanwhile and does not have the manifest, it
+// returns result.VersionConflict, or result.StoreUnavailable if a swap whose reply
+// was lost may still be applied.
 func Publish(ctx context.Context, store kvstore.Store, docs []config.Document, author string, now time.Time) (config.Manifest, error) {
 	era := store.Era()
 	old, revision, err := CurrentManifest(ctx, store)
@@ -105,6 +110,7 @@
 	for _, ref := range p.replaced.Documents {
 		skipWrite[ref.Digest] = true
 	}
+	p.documents = map[string][]byte{}
 	for i := range docs {
 		for _, part := range docs[i].Split() {
 			data, digest, err := part.Encode()
@@ -115,11 +121,11 @@
 				return result.New(result.InvalidDeclaration, result.RanNo, "document %q exceeds %d bytes", part.Name, maxValueBytes)
 			}
 			p.manifest.Documents = append(p.manifest.Documents, config.DocumentRef{Name: part.Name, Digest: digest})
+			p.documents[digest] = data
 			if skipWrite[digest] {
 				continue
 			}
-			op := kvstore.Op{Key: configsync.DocumentPrefix + digest, Value: data}
-			if _, err := p.store.Commit(ctx, kvstore.Txn{Ops: []kvstore.Op{op}}); err != nil {
+			if err := p.writeDocument(ctx, digest); err != nil {
 				return errors.Wrapf(err, "write document %q", part.Name)
 			}
 			skipWrite[digest] = true
@@ -128,6 +134,12 @@
 	return nil
 }
 
+func (p *publication) writeDocument(ctx context.Context, digest string) error {
+	op := kvstore.Op{Key: configsync.DocumentPrefix + digest, Value: p.documents[digest]}
+	_, err := p.store.Commit(ctx, kvstore.Txn{Ops: []kvstore.Op{op}})
+	return err
+}
+
 // swap replaces the manifest by a compare-and-swap on the revision of the
 // replaced one. While the outcome of an attempt is unknown, it looks the outcome up
 // and tries again until ctx ends. It returns the new manifest's revision.
@@ -147,18 +159,31 @@
 			{Key: configsync.HistoryKey(p.manifest.Version), Value: data},
 		},
 	}
+	isReplyLost := false
 	for {
 		res, err := p.store.Commit(ctx, txn)
 		if err == nil && res.Applied {
 			return res.Revision, nil
 		}
 		// An earlier attempt of this loop may have taken effect without a reply.
-		revision, known, outcomeErr := p.readOutcome(ctx)
-		if known || outcomeErr != nil {
-			return revision, outcomeErr
-		}
-		if err == nil && len(res.Current) == 1 {
+		revision, history, outcomeErr := p.readOutcome(ctx)
+		isRestored := errors.Is(err, kvstore.ErrRestored)
+		isReplyLost = isReplyLost || (err != nil && !isRestored)
+		switch {
+		case outcomeErr != nil:
+			return 0, outcomeErr
+		case history.has && isRestored:
+			// The store may have lost the documents.
+			return revision, p.rewriteDocuments(ctx)
+		case history.has:
+			return revision, nil
+		case err == nil && len(res.Current) == 1:
 			return 0, conflictError(&res.Current[0])
+		case err == nil, isRestored && history.answered && !isReplyLost:
+			// The manifest on which this publication rests is gone.
+			return 0, result.New(result.VersionConflict, result.RanNo, "the store was restored from an older copy before version %d was accepted", p.manifest.Version)
+		case isRestored && history.answered:
+			return 0, result.New(result.StoreUnavailable, result.RanUnknown, "the store was restored from an older copy, which does not have version %d", p.manifest.Version)
 		}
 		select {
 		case <-ctx.Done():
@@ -168,25 +193,40 @@
 	}
 }
 
+// rewriteDocuments writes all documents of the manifest, also those that the replaced
+// one references.
+func (p *publication) rewriteDocuments(ctx context.Context) error {
+	for digest := range p.documents {
+		if err := p.writeDocument(ctx, digest); err != nil {
+			return errors.Mark(err, result.New(result.StoreUnavailable, result.RanYes, "version %d is in the store, which may lack documents of it", p.manifest.Version))
+		}
+	}
+	return nil
+}
+
+// historyState is what a read of the history shows of a publication: whether the store
+// answered, and whether it has the entry that this publication wrote.
+type historyState struct{ answered, has bool }
+
 // readOutcome reads the history entry of the version. It returns the revision if
 // this publication wrote the entry, and result.VersionConflict if another one
-// did. known is false if the store does not answer or has no entry.
-func (p *publication) readOutcome(ctx context.Context) (revision int64, known bool, err error) {
+// did.
+func (p *publication) readOutcome(ctx context.Context) (revision int64, state historyState, err error) {
 	kv, err := p.store.Get(ctx, configsync.HistoryKey(p.manifest.Version))
 	if err != nil {
-		return 0, false, nil //nolint:nilerr // without an answer the outcome stays unknown
+		return 0, historyState{}, nil //nolint:nilerr // without an answer the outcome stays unknown
 	}
 	if kv == nil {
-		return 0, false, nil
+		return 0, historyState{answered: true}, nil
 	}
 	existing, err := decodeManifest(kv)
 	if err != nil {
-		return 0, false, err
+		return 0, historyState{}, err
 	}
 	if existing.Nonce == p.manifest.Nonce {
-		return kv.ModRevision, true, nil
+		return kv.ModRevision, historyState{answered: true, has: true}, nil
 	}
-	return 0, false, conflictError(kv)
+	return 0, historyState{}, conflictError(kv)
 }
 
 // conflictError returns result.VersionConflict with the author and time of the
