--- a/configsync/restore.go
+++ b/configsync/restore.go
@@ -36,7 +36,7 @@
 		if err := json.Unmarshal(kv.Value, &stored); err != nil {
 			return errors.Wrap(err, "decode manifest")
 		}
-		compare.ModRevision = kv.ModRevision
+		compare.ModRevision, compare.Value = kv.ModRevision, kv.Value
 	}
 	isSame := stored.Version == own.decoded.Version && stored.Nonce == own.decoded.Nonce
 	if isSame || stored.Version > own.decoded.Version {
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"sort"
@@ -222,6 +223,7 @@
 	Result         string `json:"result"`
 	ModRevision    int64  `json:"mod_revision,string"`
 	CreateRevision int64  `json:"create_revision,string"`
+	Value          []byte `json:"value"`
 }
 
 type putRequest struct {
@@ -301,11 +303,14 @@
 }
 
 // comparisonHolds reports whether a comparison of a transaction succeeds. It supports
-// only equality of the create or the modification revision.
+// only equality of the create or the modification revision, or of the value.
 func (s *Store) comparisonHolds(c compare) bool {
 	e := s.keys[string(c.Key)]
-	if c.Target == "CREATE" {
+	switch c.Target {
+	case "CREATE":
 		return e.CreateRevision == c.CreateRevision
+	case "VALUE":
+		return e.ModRevision != 0 && bytes.Equal(e.Value, c.Value)
 	}
 	return e.ModRevision == c.ModRevision
 }
--- a/kvstore/gateway.go
+++ b/kvstore/gateway.go
@@ -121,7 +121,8 @@
 	Key         []byte `json:"key"`
 	Target      string `json:"target"`
 	Result      string `json:"result"`
-	ModRevision int64  `json:"mod_revision,string"`
+	ModRevision int64  `json:"mod_revision,string,omitempty"`
+	Value       []byte `json:"value,omitempty"`
 }
 
 type wirePut struct {
@@ -182,7 +183,11 @@
 	var req txnRequest
 	for _, c := range txn.Compares {
 		key := []byte(c.Key)
-		req.Compare = append(req.Compare, wireCompare{Key: key, Target: "MOD", Result: "EQUAL", ModRevision: c.ModRevision})
+		compare := wireCompare{Key: key, Target: "MOD", Result: "EQUAL", ModRevision: c.ModRevision}
+		if c.Value != nil {
+			compare = wireCompare{Key: key, Target: "VALUE", Result: "EQUAL", Value: c.Value}
+		}
+		req.Compare = append(req.Compare, compare)
 		req.Failure = append(req.Failure, wireOp{Range: &rangeRequest{Key: key}})
 	}
 	for _, op := range txn.Ops {
--- a/kvstore/store.go
+++ b/kvstore/store.go
@@ -25,6 +25,10 @@
 type Compare struct {
 	Key         string
 	ModRevision int64
+	// Value, if it is not nil, is the value at ModRevision, which the key has at no other one.
+	// A store that does not check the era of a transaction compares it instead of the revision:
+	// a restored etcd gives revisions out again, and does not state that it was restored.
+	Value []byte
 }
 
 // Op is a write of a transaction: a put, or a deletion if Delete is set. A put
--- a/operator/collect.go
+++ b/operator/collect.go
@@ -96,7 +96,7 @@
 	for len(garbage) > 0 {
 		batch := garbage[:min(len(garbage), maxDeletesPerTxn)]
 		garbage = garbage[len(batch):]
-		txn := kvstore.Txn{Era: p.era, Compares: []kvstore.Compare{{Key: configsync.ManifestKey, ModRevision: newRevision}}}
+		txn := kvstore.Txn{Era: p.era, Compares: []kvstore.Compare{{Key: configsync.ManifestKey, ModRevision: newRevision, Value: p.written}}}
 		for _, kv := range batch {
 			txn.Compares = append(txn.Compares, kvstore.Compare{Key: kv.Key, ModRevision: kv.ModRevision})
 			txn.Ops = append(txn.Ops, kvstore.Op{Key: kv.Key, Delete: true})
--- a/operator/publish.go
+++ b/operator/publish.go
@@ -36,8 +36,12 @@
 	// revision is its revision in the store, 0 if there was none.
 	replaced config.Manifest
 	revision int64
+	// value is the encoded form of replaced in the store, nil if there was none.
+	value []byte
 	// era is that of the store in which revision was read.
 	era int64
+	// written is the encoded form of manifest, nil before it is swapped.
+	written []byte
 	// documents holds the encoded documents of the manifest by digest.
 	documents map[string][]byte
 }
@@ -45,12 +49,21 @@
 // CurrentManifest reads the current manifest and its revision in the store. If the
 // store has none, it returns an empty manifest and revision 0.
 func CurrentManifest(ctx context.Context, store kvstore.Store) (config.Manifest, int64, error) {
+	m, kv, err := readManifest(ctx, store)
+	if kv == nil {
+		return m, 0, err
+	}
+	return m, kv.ModRevision, err
+}
+
+// readManifest reads the current manifest, decoded and as the store has it, nil for none.
+func readManifest(ctx context.Context, store kvstore.Store) (config.Manifest, *kvstore.KV, error) {
 	kv, err := store.Get(ctx, configsync.ManifestKey)
 	if err != nil || kv == nil {
-		return config.Manifest{}, 0, err
+		return config.Manifest{}, nil, err
 	}
 	m, err := decodeManifest(kv)
-	return m, kv.ModRevision, err
+	return m, kv, err
 }
 
 func decodeManifest(kv *kvstore.KV) (config.Manifest, error) {
@@ -70,7 +83,7 @@
 // was lost may still be applied.
 func Publish(ctx context.Context, store kvstore.Store, docs []config.Document, author string, now time.Time) (config.Manifest, error) {
 	era := store.Era()
-	old, revision, err := CurrentManifest(ctx, store)
+	old, kv, err := readManifest(ctx, store)
 	if err != nil {
 		return config.Manifest{}, err
 	}
@@ -78,9 +91,12 @@
 		return config.Manifest{}, errors.Mark(err, result.New(result.InvalidDeclaration, result.RanNo, "invalid declarations"))
 	}
 	p := &publication{
-		store: store, replaced: old, revision: revision, era: era,
+		store: store, replaced: old, era: era,
 		manifest: config.Manifest{Version: old.Version + 1, Author: author, Published: now, Nonce: newNonce()},
 	}
+	if kv != nil {
+		p.revision, p.value = kv.ModRevision, kv.Value
+	}
 	if err := p.writeDocuments(ctx, docs); err != nil {
 		return config.Manifest{}, err
 	}
@@ -151,9 +167,10 @@
 	if len(data) > maxValueBytes {
 		return 0, result.New(result.InvalidDeclaration, result.RanNo, "the manifest exceeds %d bytes", maxValueBytes)
 	}
+	p.written = data
 	txn := kvstore.Txn{
 		Era:      p.era,
-		Compares: []kvstore.Compare{{Key: configsync.ManifestKey, ModRevision: p.revision}},
+		Compares: []kvstore.Compare{{Key: configsync.ManifestKey, ModRevision: p.revision, Value: p.value}},
 		Ops: []kvstore.Op{
 			{Key: configsync.ManifestKey, Value: data},
 			{Key: configsync.HistoryKey(p.manifest.Version), Value: data},
--- a/operator/restore_test.go
+++ b/operator/restore_test.go
@@ -41,7 +41,9 @@
 		{"manifest lost, same cluster", false, 0, result.VersionConflict},
 		{"an earlier manifest", true, 1, result.VersionConflict},
 		// The copy and the base differ, and the manifest has the base's revision by chance.
-		{"a manifest of the same revision", true, -1, 0},
+		{"another manifest of the same revision", true, -1, result.VersionConflict},
+		{"another manifest of the same revision, same cluster", false, -1, result.VersionConflict},
+		{"the same manifest, documents lost", true, -2, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			server, client := newStore(t)
@@ -53,7 +55,7 @@
 				return Publish(ctx, store, docs, fmt.Sprint("author-", variant), time.Now())
 			}
 			var copied *standin.StoreCopy
-			if tc.published <= 0 {
+			if tc.published == 0 || tc.published == -1 {
 				copied = server.Copy()
 			}
 			if _, err := publish(client, 1); err != nil {
@@ -73,7 +75,7 @@
 			}
 			store := &hookedStore{Store: client, beforeSwap: func() {
 				server.Restore(copied, standin.RestoreOptions{NewCluster: tc.isNew})
-				if tc.published < 0 {
+				if tc.published == -1 {
 					// Another writer gives the manifest the revision of the base.
 					for server.Revision() < base-1 {
 						put(t, other, configsync.DocumentPrefix+"filler", []byte("{}"))
