--- a/claim/batch.go
+++ b/claim/batch.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -43,12 +44,13 @@
 )
 
 // update is a queued write that is applied if its key has the given revision of the given
-// era, 0 for absent.
+// era, 0 for absent, with the given value.
 type update struct {
 	ctx      context.Context
 	key      string
 	era      int64
 	revision int64
+	value    []byte
 	op       kvstore.Op
 	result   chan updateResult
 }
@@ -97,11 +99,12 @@
 	}
 }
 
-// update writes a key if it has the given revision of the given era, 0 for absent. It
+// update writes a key if it has the given revision of the given era, 0 for absent, with
+// the given value. It
 // retries a failed write until ctx ends. After an error the write may or may not have
 // taken effect.
-func (b *Batcher) update(ctx context.Context, at kvstore.Position, op kvstore.Op) (updateResult, error) {
-	u := &update{ctx: ctx, key: op.Key, era: at.Era, revision: at.Revision, op: op, result: make(chan updateResult, 1)}
+func (b *Batcher) update(ctx context.Context, at kvstore.Position, value []byte, op kvstore.Op) (updateResult, error) {
+	u := &update{ctx: ctx, key: op.Key, era: at.Era, revision: at.Revision, value: value, op: op, result: make(chan updateResult, 1)}
 	b.enqueue(u)
 	select {
 	case res := <-u.result:
@@ -208,7 +211,7 @@
 	}
 	txn := kvstore.Txn{Era: batch[0].era}
 	for _, u := range batch {
-		txn.Compares = append(txn.Compares, kvstore.Compare{Key: u.key, ModRevision: u.revision})
+		txn.Compares = append(txn.Compares, kvstore.Compare{Key: u.key, ModRevision: u.revision, Value: u.value})
 		txn.Ops = append(txn.Ops, u.op)
 	}
 	res, err := b.store.Commit(ctx, txn)
@@ -239,6 +242,18 @@
 	}
 }
 
+// matches reports whether the store's entry for the key, nil for none, is the one on which
+// the update rests.
+func (u *update) matches(kv *kvstore.KV) bool {
+	switch {
+	case kv == nil:
+		return u.revision == 0
+	case u.value != nil:
+		return bytes.Equal(kv.Value, u.value)
+	}
+	return kv.ModRevision == u.revision
+}
+
 // resolveConflict handles a transaction that was rejected because a comparison
 // failed. It returns the current entries to the updates that conflict with them
 // and queues the other updates again.
@@ -250,11 +265,7 @@
 	var retries []*update
 	for _, u := range batch {
 		kv := currentByKey[u.key]
-		var revision int64
-		if kv != nil {
-			revision = kv.ModRevision
-		}
-		if revision == u.revision {
+		if u.matches(kv) {
 			retries = append(retries, u)
 			continue
 		}
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -71,12 +71,24 @@
 	// era is that of the store in which revision was read or written.
 	era   int64
 	lease int64
+	// value is the encoded record in the store.
+	value []byte
 }
 
-func (c *Claim) position() kvstore.Position {
-	return kvstore.Position{Era: c.era, Revision: c.revision}
+// basis is what a write that replaces a claim rests on: the claim's position, revision 0 for
+// none, and its value. The value shows a restore that gave the revision to another claim.
+type basis struct {
+	kvstore.Position
+	value []byte
 }
 
+func (c *Claim) basis() basis {
+	return basis{kvstore.Position{Era: c.era, Revision: c.revision}, c.value}
+}
+
+// absent returns the basis of a write for a key without a claim.
+func (r *Registry) absent() basis { return basis{Position: kvstore.Position{Era: r.store.Era()}} }
+
 // Registry claims keys in the store. Its methods may be called from any
 // goroutine.
 type Registry struct {
@@ -102,9 +114,9 @@
 // write that succeeded although its reply was lost.
 func (r *Registry) Put(ctx context.Context, k Key, lastRead *Claim, rec Record) (*Claim, error) {
 	next := &Claim{Record: rec, key: Prefix + k.Digest()}
-	at := kvstore.Position{Era: r.store.Era()}
+	at := r.absent()
 	if lastRead != nil {
-		at = lastRead.position()
+		at = lastRead.basis()
 	}
 	current, err := r.put(ctx, next, at)
 	if errors.Is(err, kvstore.ErrLeaseNotFound) {
@@ -112,15 +124,29 @@
 		next.lease = 0
 		current, err = r.put(ctx, next, at)
 	}
+	if errors.Is(err, kvstore.ErrRestored) {
+		current, err = r.putAfterRestore(ctx, next, lastRead == nil)
+	}
 	if err != nil {
 		return nil, errors.Mark(err, ErrUncertain)
 	}
 	return current, nil
 }
 
-// put writes the claim if its key has the given revision of the given era, 0 for absent. It
+// putAfterRestore returns the claim that a restored store has for the key. If there is none and
+// isFirst is set, it writes the claim.
+func (r *Registry) putAfterRestore(ctx context.Context, next *Claim, isFirst bool) (*Claim, error) {
+	current, at, err := r.get(ctx, next.key)
+	if err != nil || current != nil || !isFirst {
+		return current, err
+	}
+	next.lease = 0
+	return r.put(ctx, next, at)
+}
+
+// put writes the claim if its key has the claim that the write rests on. It
 // returns the claim that the key has afterwards, nil for none.
-func (r *Registry) put(ctx context.Context, c *Claim, at kvstore.Position) (*Claim, error) {
+func (r *Registry) put(ctx context.Context, c *Claim, at basis) (*Claim, error) {
 	if c.lease == 0 {
 		lease, err := r.leases.current(ctx, time.Now())
 		if err != nil {
@@ -132,12 +158,12 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode claim")
 	}
-	res, err := r.batcher.update(ctx, at, kvstore.Op{Key: c.key, Value: data, Lease: c.lease})
+	res, err := r.batcher.update(ctx, at.Position, at.value, kvstore.Op{Key: c.key, Value: data, Lease: c.lease})
 	if err != nil {
 		return nil, err
 	}
 	if res.applied {
-		c.revision, c.era = res.revision, at.Era
+		c.revision, c.era, c.value = res.revision, at.Era, data
 		return c, nil
 	}
 	return decode(res.current, at.Era)
@@ -148,7 +174,7 @@
 	if kv == nil {
 		return nil, nil
 	}
-	c := &Claim{key: kv.Key, revision: kv.ModRevision, era: era, lease: kv.Lease}
+	c := &Claim{key: kv.Key, revision: kv.ModRevision, era: era, lease: kv.Lease, value: kv.Value}
 	if err := json.Unmarshal(kv.Value, &c.Record); err != nil {
 		return nil, errors.Wrap(err, "decode claim")
 	}
@@ -157,29 +183,74 @@
 
 // Get returns the claim of a key, or nil if the key is not claimed.
 func (r *Registry) Get(ctx context.Context, k Key) (*Claim, error) {
-	era := r.store.Era()
-	kv, err := r.store.Get(ctx, Prefix+k.Digest())
+	c, _, err := r.get(ctx, Prefix+k.Digest())
+	return c, err
+}
+
+// get returns the claim at a store key, nil for none, and the basis of a write that replaces
+// it.
+func (r *Registry) get(ctx context.Context, key string) (*Claim, basis, error) {
+	at := r.absent()
+	kv, err := r.store.Get(ctx, key)
 	if err != nil {
-		return nil, err
+		return nil, at, err
+	}
+	if kv != nil {
+		at.Revision, at.value = kv.ModRevision, kv.Value
 	}
-	return decode(kv, era)
+	c, err := decode(kv, at.Era)
+	return c, at, err
 }
 
+// maxOutcomeWrites limits the attempts to write an outcome. Further ones follow only if the
+// store was restored or the lease has ended.
+const maxOutcomeWrites = 6
+
 // RecordOutcome stores the outcome of the call in its claim, without the body if that
-// is too large. It does nothing if the claim was replaced or has expired.
+// is too large. A restored store may have lost the claim or have an older state of it:
+// RecordOutcome then writes the whole claim again. It does nothing if another call has
+// the claim.
 func (r *Registry) RecordOutcome(ctx context.Context, c *Claim, outcome Outcome) error {
 	next := *c
 	if len(outcome.Body) > maxOutcomeBytes {
 		outcome.Body, outcome.Dropped = nil, true
 	}
 	next.Outcome = &outcome
-	_, err := r.put(ctx, &next, c.position())
-	return err
+	at := c.basis()
+	var err error
+	for range maxOutcomeWrites {
+		var current *Claim
+		current, err = r.put(ctx, &next, at)
+		switch {
+		case errors.Is(err, kvstore.ErrLeaseNotFound):
+			r.leases.discard(next.lease)
+			next.lease = 0
+			continue
+		case errors.Is(err, kvstore.ErrRestored):
+			if current, at, err = r.get(ctx, next.key); err != nil {
+				return err
+			}
+		case err != nil:
+			return err
+		case current != nil:
+			at = current.basis()
+		default:
+			at = r.absent()
+		}
+		if current != nil && (current.CallID != next.CallID || current.Outcome != nil) {
+			return nil
+		}
+		next.lease = 0
+		if current != nil {
+			next.lease = current.lease
+		}
+	}
+	return errors.Wrap(err, "write the outcome after a restore of the store")
 }
 
 // Release deletes a claim. The caller must be certain that the claimed call did
 // not run.
 func (r *Registry) Release(ctx context.Context, c *Claim) error {
-	_, err := r.batcher.update(ctx, c.position(), kvstore.Op{Key: c.key, Delete: true})
+	_, err := r.batcher.update(ctx, c.basis().Position, c.value, kvstore.Op{Key: c.key, Delete: true})
 	return err
 }
