--- a/agent/atmostonce.go
+++ b/agent/atmostonce.go
@@ -48,23 +48,34 @@
 	endedAt time.Time
 }
 
+// reservedKey is the ID of the only call that may start with a key, and the time of the last
+// query that reserved the key for it.
+type reservedKey struct {
+	id string
+	at time.Time
+}
+
 // atMostOnceTable holds calls by ID and by idempotency key. It is safe for
 // concurrent use. A call that is in the table never starts a second time.
 type atMostOnceTable struct {
-	mu         sync.Mutex
-	calls      map[string]*atMostOnceCall
-	byKey      map[string]string
+	mu    sync.Mutex
+	calls map[string]*atMostOnceCall
+	byKey map[string]string
+	// reserved maps keys to the only calls that may start with them.
+	reserved   map[string]reservedKey
 	replyBytes int
 	jobCount   int
 	lastPruned time.Time
 }
 
 func newAtMostOnceTable() *atMostOnceTable {
-	return &atMostOnceTable{calls: map[string]*atMostOnceCall{}, byKey: map[string]string{}}
+	return &atMostOnceTable{calls: map[string]*atMostOnceCall{}, byKey: map[string]string{}, reserved: map[string]reservedKey{}}
 }
 
-// getOrAdd adds a call. If the table already holds a call with the same ID,
-// getOrAdd returns that one and isNew is false.
+// getOrAdd adds a call. If the table already holds a call with the same ID, getOrAdd
+// returns that one and isNew is false. The same holds for a call with the same key: the
+// store has then lost the claim of that call in a restore. A call whose key is reserved
+// for another one is added as withdrawn.
 func (t *atMostOnceTable) getOrAdd(id string, spec peer.AtMostOnce) (c *atMostOnceCall, isNew bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -72,6 +83,14 @@
 	if found, ok := t.calls[id]; ok {
 		return found, false
 	}
+	if found, ok := t.calls[t.byKey[spec.Key]]; ok {
+		return found, false
+	}
+	if r, ok := t.reserved[spec.Key]; ok && r.id != id {
+		c = &atMostOnceCall{withdrawn: true, endedAt: time.Now()}
+		t.calls[id] = c
+		return c, false
+	}
 	c = &atMostOnceCall{spec: spec, done: make(chan struct{})}
 	t.calls[id] = c
 	t.byKey[spec.Key] = id
@@ -93,6 +112,14 @@
 	close(c.done)
 }
 
+// reserve ensures that no other call with the key starts from now on. It has no effect on a
+// call that the table already holds.
+func (t *atMostOnceTable) reserve(key, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reserved[key] = reservedKey{id, time.Now()}
+}
+
 // withdraw ensures that a call that has not arrived never starts.
 func (t *atMostOnceTable) withdraw(id string) {
 	t.mu.Lock()
@@ -130,6 +157,11 @@
 		return
 	}
 	t.lastPruned = now
+	for key, r := range t.reserved {
+		if now.Sub(r.at) >= outcomeRetention {
+			delete(t.reserved, key)
+		}
+	}
 	for id, c := range t.calls {
 		if c.endedAt.IsZero() || (now.Sub(c.endedAt) < outcomeRetention && t.replyBytes < maxReplyBytes) {
 			continue
@@ -181,6 +213,7 @@
 	select {
 	case <-c.done:
 		out := *a.atMostOnce.replyTo(c)
+		out.ID = call.ID
 		load := a.State().Load
 		out.Load = &load
 		writeReply(w, &out)
@@ -252,6 +285,9 @@
 }
 
 func (a *Agent) queryOutcome(ctx context.Context, q peer.OutcomeQuery) peer.Outcome {
+	if q.ID == "" && q.OnlyCall != "" {
+		a.atMostOnce.reserve(q.Key, q.OnlyCall)
+	}
 	id, c := a.awaitCall(ctx, q)
 	if c == nil {
 		return a.withdrawAbsent(q)
--- a/agent/reserve_test.go
+++ b/agent/reserve_test.go
@@ -21,13 +21,15 @@
 
 // oneSlotAgent is a running agent that admits one call at a time.
 type oneSlotAgent struct {
-	agent  *Agent
-	client *peer.Client
-	addr   string
+	agent   *Agent
+	service *standin.Plain
+	client  *peer.Client
+	addr    string
 }
 
 func startOneSlotAgent(t *testing.T) *oneSlotAgent {
-	service := httptest.NewServer(standin.NewPlain(0).Handler())
+	plain := standin.NewPlain(0)
+	service := httptest.NewServer(plain.Handler())
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -51,7 +53,7 @@
 		<-done
 		service.Close()
 	})
-	return &oneSlotAgent{agent: a, client: peer.NewClient(&http.Client{}, keys), addr: listener.Addr().String()}
+	return &oneSlotAgent{agent: a, service: plain, client: peer.NewClient(&http.Client{}, keys), addr: listener.Addr().String()}
 }
 
 func (o *oneSlotAgent) reserve(ctx context.Context, id string) error {
--- a/peer/atmostonce.go
+++ b/peer/atmostonce.go
@@ -34,6 +34,9 @@
 	// withdraws nothing.
 	ID  string `json:"id,omitempty"`
 	Key string `json:"key,omitempty"`
+	// OnlyCall, in a query by Key, is the ID of the only call that the agent may start with the
+	// key from now on, unless it has one already.
+	OnlyCall string `json:"only_call,omitempty"`
 	// Incarnation and AgentUptimeMillis are those of the call: the agent process to
 	// which it was sent and the uptime of that process when it was chosen.
 	Incarnation       string `json:"incarnation,omitempty"`
