--- a/claim/claim.go
+++ b/claim/claim.go
@@ -95,12 +95,14 @@
 	store   kvstore.Store
 	batcher *Batcher
 	leases  *leaseRotation
+	// remembered holds the claims that WriteAgain writes.
+	remembered remembered
 }
 
 // NewRegistry returns a registry whose claims expire when the retention has passed, or
 // up to 1/leasesPerRetention of the retention later. It writes through the batcher, whose Serve must run.
 func NewRegistry(store kvstore.Store, batcher *Batcher, retention time.Duration) *Registry {
-	return &Registry{store: store, batcher: batcher, leases: newLeaseRotation(store, retention)}
+	return &Registry{store: store, batcher: batcher, leases: newLeaseRotation(store, retention), remembered: remembered{claims: map[string]rememberedClaim{}}}
 }
 
 // ErrUncertain marks every error of Put: the claim may or may not have been written,
@@ -130,6 +132,9 @@
 	if err != nil {
 		return nil, errors.Mark(err, ErrUncertain)
 	}
+	if current != nil && current.CallID == rec.CallID {
+		r.remembered.add(current, time.Now())
+	}
 	return current, nil
 }
 
@@ -251,6 +256,7 @@
 // Release deletes a claim. The caller must be certain that the claimed call did
 // not run.
 func (r *Registry) Release(ctx context.Context, c *Claim) error {
+	r.remembered.forget(c)
 	_, err := r.batcher.update(ctx, c.basis().Position, c.value, kvstore.Op{Key: c.key, Delete: true})
 	return err
 }
--- a/claim/restore_test.go
+++ b/claim/restore_test.go
@@ -73,3 +73,50 @@
 		t.Fatalf("the claim is %+v, err %v", now, err)
 	}
 }
+
+// Guards against claims of calls that may have run and that nobody writes again after a
+// restore.
+func TestLostClaimsAreWrittenAgain(t *testing.T) {
+	store := standin.NewStore()
+	server := httptest.NewServer(store.Handler())
+	defer server.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	r := newTestRegistry(t, server.URL, BatchOptions{})
+	copied := store.Copy()
+	const claims = 40
+	key := func(i int) Key { return Key{Value: fmt.Sprint(i)} }
+	for i := range claims {
+		held, err := r.Put(ctx, key(i), nil, Record{CallID: fmt.Sprint("call-", i)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if i == 0 {
+			if err := r.Release(ctx, held); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	store.Restore(copied, standin.RestoreOptions{NewCluster: true})
+	other := newTestRegistry(t, server.URL, BatchOptions{})
+	if _, err := other.Put(ctx, key(1), nil, Record{CallID: "second"}); err != nil {
+		t.Fatal(err)
+	}
+	// The process learns of the restore.
+	if _, err := r.Get(ctx, key(0)); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := r.WriteAgain(ctx); err != nil || n != claims-2 {
+		t.Fatalf("%d claims written again, err %v, want %d", n, err, claims-2)
+	}
+	for i := range claims {
+		now, err := other.Get(ctx, key(i))
+		want := fmt.Sprint("call-", i)
+		if i == 1 {
+			want = "second"
+		}
+		if err != nil || (now == nil) != (i == 0) || (now != nil && now.CallID != want) {
+			t.Fatalf("claim %d is %+v, err %v", i, now, err)
+		}
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -92,6 +92,8 @@
 	// revoker sends revocations, each on a connection of its own.
 	revoker *peer.Client
 	claims  *claim.Registry
+	// restores watches for restores of the store.
+	restores *restoreWatch
 	// mismatchedReplies counts dropped frames and replies whose id belongs to
 	// another generation or call.
 	mismatchedReplies metric.Int64Counter
@@ -165,6 +167,7 @@
 		router:            decision.NewRouter(opts.Policy, opts.Datacentre, opts.Region),
 	}
 	e.answerNow, e.endAnswering = context.WithCancel(context.Background())
+	e.restores = &restoreWatch{entry: e}
 	e.snapshots = newSnapshotBuilder(e.members, e.recorder, opts.Disabled.SlowDetection)
 	e.limits = newLimits(opts.Disabled)
 	e.registerInstruments()
@@ -235,6 +238,7 @@
 	coreSupervisor.Add(e.snapshots)
 	coreSupervisor.Add(e.batcher)
 	coreSupervisor.Add(e.quarantine)
+	coreSupervisor.Add(e.restores)
 	httpSupervisor := suture.New("entry callers", suture.Spec{EventHook: e.logEvent, Timeout: e.opts.DrainLimit})
 	server := httpserve.New("entry callers", e.opts.Listener, e.handler(), e.opts.DrainLimit)
 	server.SetGuard(e.opts.Guard, bodyFactor, true)
--- a/entry/issued.go
+++ b/entry/issued.go
@@ -109,7 +109,7 @@
 // only a declared first use shows that the call did not run.
 func (cc *claimedCall) resolveWithoutStore(ctx context.Context) roundResult {
 	if members := cc.entry.targetsServing(cc.service); !cc.isFirstUse && len(members) <= maxOutcomeQueries {
-		for _, outcome := range cc.queryOutcomes(ctx, members) {
+		for _, outcome := range cc.queryOutcomes(ctx, members, "") {
 			switch {
 			case outcome.State != peer.CallEnded && outcome.State != peer.CallRunning:
 			case outcome.Fingerprint != cc.fingerprint:
@@ -127,8 +127,9 @@
 }
 
 // queryOutcomes queries the targets for a call by its key. The outcome of a
-// target that does not respond is the zero value.
-func (cc *claimedCall) queryOutcomes(ctx context.Context, members []*membership.Member) []peer.Outcome {
+// target that does not respond is the zero value. Unless onlyCall is empty, the targets that
+// respond start no other call with the key than that.
+func (cc *claimedCall) queryOutcomes(ctx context.Context, members []*membership.Member, onlyCall string) []peer.Outcome {
 	ctx, cancel := context.WithTimeout(ctx, outcomeQueryTimeout)
 	defer cancel()
 	outcomes := make([]peer.Outcome, len(members))
@@ -136,7 +137,7 @@
 	for i, m := range members {
 		wg.Go(func() {
 			outcome, err := cc.entry.peerClient.Outcome(ctx, m.VM.Addr, peer.OutcomeQuery{
-				Key: cc.key.Digest(), WaitMillis: outcomeQueryWait.Milliseconds(),
+				Key: cc.key.Digest(), OnlyCall: onlyCall, WaitMillis: outcomeQueryWait.Milliseconds(),
 			})
 			if err == nil {
 				outcomes[i] = outcome
--- a/entry/once.go
+++ b/entry/once.go
@@ -45,7 +45,8 @@
 
 // claimedCall runs a call under a claim of the caller's idempotency key. Invariant:
 // a call id is sent only to the agent process that the claim in the store names,
-// and only after the store has confirmed the claim.
+// and only after the store has confirmed the claim. After a restore of the store, the call
+// is sent only if no agent has run one under a lost claim of the key.
 type claimedCall struct {
 	*call
 	key         claim.Key
@@ -115,6 +116,9 @@
 		return nil, roundResult{retry: true}
 	case current.CallID == record.CallID:
 		cc.recordClaim(m, "won")
+		if res, found := cc.findLostCall(ctx, current); found {
+			return current, res
+		}
 		return current, cc.dispatch(ctx, m, current)
 	}
 	cc.recordClaim(m, "held")
