--- a/claim/loss_test.go
+++ b/claim/loss_test.go
@@ -112,30 +112,43 @@
 	time.Sleep(50 * time.Millisecond)
 	close(stop)
 	workers.Wait()
-	won, doubled := 0, 0
+	won := countWon(history)
+	checked, doubled := addDoubled(history, times)
+	t.Logf("%d operations, %d won, %d through a restore", len(checked), won, doubled)
+	if won == 0 {
+		t.Fatal("no Put won a claim")
+	}
+	if res := porcupine.CheckOperationsTimeout(lossModel.ToModel(), checked, time.Minute); res != porcupine.Ok {
+		t.Fatalf("history is not linearizable: %v", res)
+	}
+}
+
+func countWon(history []porcupine.Operation) int {
+	won := 0
+	for _, op := range history {
+		if in, ok := op.Input.(claimStep); ok && !op.Output.(claimStep).uncertain && op.Output.(claimStep).call == in.call {
+			won++
+		}
+	}
+	return won
+}
+
+// addDoubled adds an uncertain operation for each Put that was under way at a restore, which
+// may take effect before and after it. It returns the number of those.
+func addDoubled(history []porcupine.Operation, restores []int64) ([]porcupine.Operation, int) {
+	var doubled []porcupine.Operation
 	for _, op := range history {
 		in, ok := op.Input.(claimStep)
-		if !ok {
+		if !ok || in.expected == neverHeld {
 			continue
 		}
-		if out := op.Output.(claimStep); !out.uncertain && out.call == in.call {
-			won++
-		}
-		// A Put that was under way at a restore may take effect before and after it.
-		for _, at := range times {
-			if op.Call <= at && at <= op.Return && in.expected != neverHeld {
-				doubled++
+		for _, at := range restores {
+			if op.Call <= at && at <= op.Return {
 				again := op
 				again.Output = claimStep{uncertain: true}
-				history = append(history, again)
+				doubled = append(doubled, again)
 			}
 		}
 	}
-	t.Logf("%d operations, %d won, %d through a restore", len(history), won, doubled)
-	if won == 0 {
-		t.Fatal("no Put won a claim")
-	}
-	if res := porcupine.CheckOperationsTimeout(lossModel.ToModel(), history, time.Minute); res != porcupine.Ok {
-		t.Fatalf("history is not linearizable: %v", res)
-	}
+	return append(history, doubled...), len(doubled)
 }
