--- a/agent/atmostonce.go
+++ b/agent/atmostonce.go
@@ -274,7 +274,7 @@
 	if !decodeMessage(w, r, &q) {
 		return
 	}
-	if q.ID != "" && q.Incarnation != a.incarnation {
+	if (q.ID != "" || q.OnlyCall != "") && q.Incarnation != a.incarnation {
 		writeReply(w, peer.Outcome{ID: q.ID, State: peer.CallUnknown})
 		return
 	}
--- a/agent/samekey_test.go
+++ b/agent/samekey_test.go
@@ -45,7 +45,7 @@
 	})
 	Convey("A key that is reserved for a call starts no other one", t, func() {
 		before := len(o.service.Effects())
-		outcome, err := o.client.Outcome(ctx, o.addr, peer.OutcomeQuery{Key: "kb", OnlyCall: "b2"})
+		outcome, err := o.client.Outcome(ctx, o.addr, peer.OutcomeQuery{Key: "kb", OnlyCall: "b2", Incarnation: o.agent.incarnation})
 		So(err, ShouldBeNil)
 		So(outcome.State, ShouldEqual, peer.CallWithdrawn)
 		_, err = o.sendOnce(ctx, "b1", "kb", "f")
--- a/entry/issued.go
+++ b/entry/issued.go
@@ -136,9 +136,11 @@
 	var wg sync.WaitGroup
 	for i, m := range members {
 		wg.Go(func() {
-			outcome, err := cc.entry.peerClient.Outcome(ctx, m.VM.Addr, peer.OutcomeQuery{
-				Key: cc.key.Digest(), OnlyCall: onlyCall, WaitMillis: outcomeQueryWait.Milliseconds(),
-			})
+			query := peer.OutcomeQuery{Key: cc.key.Digest(), OnlyCall: onlyCall, WaitMillis: outcomeQueryWait.Milliseconds()}
+			if onlyCall != "" {
+				query.Incarnation = m.State.Incarnation
+			}
+			outcome, err := cc.entry.peerClient.Outcome(ctx, m.VM.Addr, query)
 			if err == nil {
 				outcomes[i] = outcome
 			}
--- a/entry/restored.go
+++ b/entry/restored.go
@@ -105,12 +105,11 @@
 	isTold := cc.entry.areComplete(processes, targets, cc.service)
 	for i, outcome := range outcomes {
 		switch {
-		case outcome.State == "":
+		case outcome.State == peer.CallWithdrawn:
+		case outcome.State != peer.CallEnded && outcome.State != peer.CallRunning:
 			isTold = false
-		case outcome.State == peer.CallEnded, outcome.State == peer.CallRunning:
-			if outcome.ID != c.CallID {
-				return cc.adoptLostCall(ctx, c, targets[i], &outcome), true
-			}
+		case outcome.ID != c.CallID:
+			return cc.adoptLostCall(ctx, c, targets[i], &outcome), true
 		}
 	}
 	if isTold {
--- a/internal/faulttest/restore_test.go
+++ b/internal/faulttest/restore_test.go
@@ -61,3 +61,38 @@
 		}
 	}
 }
+
+// TestLostClaimOfALostTarget guards against work that runs a second time when all that knew of
+// the first is gone: the store has lost the claim, the entry that made it and the agent that
+// ran the call have ended. The call must be refused without a claim that it did not run.
+func TestLostClaimOfALostTarget(t *testing.T) {
+	const key = "all gone"
+	f := startFleet(t, fleetOptions{plainServices: 2, entries: 2, plainDelay: 20 * time.Millisecond})
+	ctx, cancel := context.WithTimeout(context.Background(), 2*responseTimeout)
+	defer cancel()
+	copied := f.store.Copy()
+	if reply := deposit(ctx, f.entries[0].addr, key); !reply.succeeded() {
+		t.Fatalf("first call: %+v", reply)
+	}
+	f.entries[0].kill()
+	f.store.Restore(copied, standin.RestoreOptions{NewCluster: true})
+	eventually(t, responseTimeout, "the other entry knows of the restore", func() bool {
+		return len(f.entries[1].grepLog("store restored")) > 0
+	})
+	for _, tg := range f.targets {
+		if len(tg.plainService.Effects()) > 0 {
+			tg.agent.kill()
+			tg.agent.restart()
+		}
+	}
+	for range 10 {
+		reply := deposit(ctx, f.entries[1].addr, key)
+		if reply.succeeded() || reply.reportsNotRun() {
+			t.Errorf("a call whose outcome nobody knows was answered with %+v", reply)
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	if n := f.effectCount(key); n != 1 {
+		t.Errorf("the call ran %d times", n)
+	}
+}
--- a/peer/atmostonce.go
+++ b/peer/atmostonce.go
@@ -35,7 +35,8 @@
 	ID  string `json:"id,omitempty"`
 	Key string `json:"key,omitempty"`
 	// OnlyCall, in a query by Key, is the ID of the only call that the agent may start with the
-	// key from now on, unless it has one already.
+	// key from now on, unless it has one already. Such a query names the process by its
+	// Incarnation, and the state is CallUnknown at another one.
 	OnlyCall string `json:"only_call,omitempty"`
 	// Incarnation and AgentUptimeMillis are those of the call: the agent process to
 	// which it was sent and the uptime of that process when it was chosen.
