--- a/agent/atmostonce.go
+++ b/agent/atmostonce.go
@@ -83,7 +83,7 @@
 	if found, ok := t.calls[id]; ok {
 		return found, false
 	}
-	if found, ok := t.calls[t.byKey[spec.Key]]; ok {
+	if found, ok := t.calls[t.byKey[spec.Key]]; ok && spec.Key != "" {
 		return found, false
 	}
 	if r, ok := t.reserved[spec.Key]; ok && r.id != id {
--- a/kvstore/restore_test.go
+++ b/kvstore/restore_test.go
@@ -316,6 +316,39 @@
 	}
 }
 
+// Guards against a transaction from before a restore that counts as applied because another
+// response, which shows the restore, has overtaken its own.
+func TestTransactionThatIsOvertakenByARestore(t *testing.T) {
+	ctx := context.Background()
+	fx := newFixture()
+	defer fx.stop()
+	copied := fx.server.Copy()
+	fx.put(t, "a", "lost")
+	hold := &holdingTransport{held: make(chan struct{}), released: make(chan struct{})}
+	hold.isUsed.Store(true)
+	store := kvstore.NewEtcdStore(fx.url, &http.Client{Transport: hold}, waitTimeout)
+	kv, err := store.Get(ctx, prefix+"a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	txn := kvstore.Txn{Era: store.Era(), Compares: []kvstore.Compare{{Key: kv.Key, ModRevision: kv.ModRevision}}, Ops: []kvstore.Op{{Key: kv.Key, Value: []byte("late")}}}
+	hold.isUsed.Store(false)
+	outcome := make(chan error, 1)
+	go func() {
+		_, err := store.Commit(ctx, txn)
+		outcome <- err
+	}()
+	<-hold.held
+	fx.server.Restore(copied, standin.RestoreOptions{NewCluster: true})
+	if _, err := store.Get(ctx, kv.Key); err != nil {
+		t.Fatal(err)
+	}
+	close(hold.released)
+	if err := <-outcome; !errors.Is(err, kvstore.ErrRestored) {
+		t.Fatalf("err %v, want ErrRestored", err)
+	}
+}
+
 // Guards against a follower that returns to an older state, or ends on another one than the
 // store's, when the store goes back at random moments.
 func TestFollowerThroughRandomRestores(t *testing.T) {
