--- a/configsync/restore_test.go
+++ b/configsync/restore_test.go
@@ -148,3 +148,22 @@
 	fx.publish("new", time.Now())
 	awaitWorkspace(t, "new", []*Follower{f})
 }
+
+// Guards against a return to the version of the copy because the clock of its operator was
+// ahead of that of the lost one's.
+func TestCopyWithALaterTimeOfPublication(t *testing.T) {
+	fx := newFixture(t)
+	now := time.Now()
+	fx.publish("w0", now.Add(time.Hour))
+	f, _ := fx.start("e1", "c1", "r1")
+	awaitWorkspace(t, "w0", []*Follower{f})
+	copied := fx.server.Copy()
+	fx.publish("lost", now)
+	awaitWorkspace(t, "lost", []*Follower{f})
+	fx.server.Restore(copied, standin.RestoreOptions{NewCluster: true})
+	awaitStored(fx, 2)
+	if m := fx.stored(); m.Nonce != "lost" || m.Version != 2 {
+		t.Fatalf("version %d of %s in the store", m.Version, m.Nonce)
+	}
+	awaitWorkspace(t, "lost", []*Follower{f})
+}
