--- a/internal/soak/drill_test.go
+++ b/internal/soak/drill_test.go
@@ -101,14 +101,14 @@
 }
 
 // runDrills lets the store be away for a moment and come back from an older copy, again and
-// again until the end. A third of the drills are followed by another one before what was
+// again until the end. Half of the drills are followed by another one before what was
 // lost has been written again.
 func (f *fleet) runDrills(random *rand.Rand, end time.Time) {
 	pause := firstDrill
 	for time.Now().Add(pause + settleTime).Before(end) {
 		time.Sleep(pause + time.Duration(random.Int64N(int64(2*time.Second))))
 		f.runDrill(random)
-		if random.IntN(3) == 0 {
+		if random.IntN(2) == 0 {
 			time.Sleep(time.Duration(random.Int64N(int64(rewriteTime))))
 			f.runDrill(random)
 		}
