--- a/claim/batch.go
+++ b/claim/batch.go
@@ -100,9 +100,8 @@
 }
 
 // update writes a key if it has the given revision of the given era, 0 for absent, with
-// the given value. It
-// retries a failed write until ctx ends. After an error the write may or may not have
-// taken effect.
+// the given value. It retries a failed write until ctx ends. After an error the write may
+// or may not have taken effect.
 func (b *Batcher) update(ctx context.Context, at kvstore.Position, value []byte, op kvstore.Op) (updateResult, error) {
 	u := &update{ctx: ctx, key: op.Key, era: at.Era, revision: at.Revision, value: value, op: op, result: make(chan updateResult, 1)}
 	b.enqueue(u)
--- a/claim/remembered.go
+++ b/claim/remembered.go
@@ -69,8 +69,8 @@
 }
 
 // WriteAgain writes the last claims of this process for keys that have none, and returns the
-// number of those. The caller calls it once the store's era has changed, and again after an error. A claim that it writes has
-// no outcome; the agent that it names tells that of the call.
+// number of those. The caller calls it once the store's era has changed, and again after an
+// error. A claim that it writes has no outcome; the agent that it names tells that of the call.
 func (r *Registry) WriteAgain(ctx context.Context) (int, error) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
--- a/feed/serve.go
+++ b/feed/serve.go
@@ -74,15 +74,15 @@
 }
 
 // parsePosition returns the position that the query of a watch request states. Processes of
-// earlier versions state no era; it is then known, so that they do not list all keys again
-// and again.
-func parsePosition(query url.Values, known int64) (kvstore.Position, error) {
+// earlier versions state no era; their requests are of the hub's, hubEra, so that they do not
+// list all keys again and again.
+func parsePosition(query url.Values, hubEra int64) (kvstore.Position, error) {
 	revision, err := strconv.ParseInt(query.Get("after"), 10, 64)
 	if err != nil {
 		return kvstore.Position{}, err
 	}
 	if !query.Has("era") {
-		return kvstore.Position{Era: known, Revision: revision}, nil
+		return kvstore.Position{Era: hubEra, Revision: revision}, nil
 	}
 	era, err := strconv.ParseInt(query.Get("era"), 10, 64)
 	return kvstore.Position{Era: era, Revision: revision}, err
