soak: a process that starts does not read settings that are invalid on purpose

Cause, from its log: 'error: [store] address is required'. The disturbance 'hup' writes invalid settings for up to 60 ms, since a running gateway must keep its own; a gateway that was just started read them, and can't start without valid ones.

Now the file is replaced in one step, a start waits while it is invalid, and a process that may not have read its settings yet gets valid ones. What is checked is unchanged: a running gateway still gets invalid settings, and any process that ends by itself is a finding.

--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -89,8 +89,13 @@
 	settings     string
 	log          *os.File
 
+	// settingsMu is held while the settings file is not to be read by a process that starts.
+	settingsMu sync.Mutex
+
 	mu  sync.Mutex
 	cmd *exec.Cmd
+	// startedAt is when the process of cmd was started.
+	startedAt time.Time
 	// exited is closed when the process of cmd has ended.
 	exited chan struct{}
 	// closing is set once the gateway is not started again.
@@ -170,12 +175,30 @@
 	return addrs
 }
 
+// writeSettings replaces the settings file. A process that starts meanwhile must not read a part
+// of it.
 func (g *gateway) writeSettings(text string) {
-	if err := os.WriteFile(g.settingsFile, []byte(text), 0o600); err != nil {
+	next := g.settingsFile + ".next"
+	err := os.WriteFile(next, []byte(text), 0o600)
+	if err == nil {
+		err = os.Rename(next, g.settingsFile)
+	}
+	if err != nil {
 		g.t.Error(err)
 	}
 }
 
+// settingsReadTime is the time within which a process that starts has read its settings.
+const settingsReadTime = 2 * time.Second
+
+// hasReadSettings reports whether the process has been running for long enough to have read its
+// settings. One that reads invalid ones can't start.
+func (g *gateway) hasReadSettings() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return time.Since(g.startedAt) > settingsReadTime
+}
+
 // start starts the process, and starts it again whenever it ends.
 func (g *gateway) start() {
 	g.t.Helper()
@@ -192,6 +215,8 @@
 	cmd.Stdout, cmd.Stderr = g.log, g.log
 	// The kernel continues the stopped processes of an orphaned process group.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	g.settingsMu.Lock()
+	defer g.settingsMu.Unlock()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	// After close, the log is closed and nothing would end the process.
@@ -203,7 +228,7 @@
 		return
 	}
 	exited := make(chan struct{})
-	g.cmd, g.exited = cmd, exited
+	g.cmd, g.exited, g.startedAt = cmd, exited, time.Now()
 	go func() {
 		err := cmd.Wait()
 		now := time.Now()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -196,7 +196,13 @@
 		g.signal(syscall.SIGTERM)
 	case "hup":
 		texts := []string{g.settings, g.settings, g.settings + "\nbad line\n", g.settings[:f.random.IntN(len(g.settings))], strings.Replace(g.settings, "reserve = 54", "reserve = 20", 1)}
-		g.writeSettings(texts[f.random.IntN(len(texts))])
+		text := texts[f.random.IntN(len(texts))]
+		g.settingsMu.Lock()
+		defer g.settingsMu.Unlock()
+		if !g.hasReadSettings() {
+			text = g.settings
+		}
+		g.writeSettings(text)
 		f.note("%s SIGHUP", g.name)
 		g.signal(syscall.SIGHUP)
 		time.Sleep(time.Duration(f.random.IntN(60)) * time.Millisecond)
