--- a/internal/standin/storerestore.go
+++ b/internal/standin/storerestore.go
@@ -33,6 +33,9 @@
 	MarkCompacted bool
 }
 
+// Revision returns the store's revision in the copy.
+func (c *StoreCopy) Revision() int64 { return c.revision }
+
 // Copy returns a copy of the state of the store.
 func (s *Store) Copy() *StoreCopy {
 	s.mu.Lock()
