gateway: the clock decides which requests a stop still takes

Callers saw streams that the gateway took long after SIGTERM and cut at the end of its stop.

Cause: the stop refused requests from the moment at which its listener had been closed. The search for opened connections before that counts only the time in which the process runs, so a process with little processor time took requests for as long as clients opened connections. The phase in which requests are passed on ended with a timer, which fires late in such a process.

Both ends are times now. A request is refused as not run if the accept phase has ended by the clock when its body has been read. Opened connections are still accepted and get that refusal. The wait for the listener ends with the stop.

--- a/gateway/front.go
+++ b/gateway/front.go
@@ -150,9 +150,11 @@
 // of those that carried a request or had unread data.
 func (f *frontend) shutdown(ctx context.Context) (busy int) {
 	f.clients.Stop()
-	<-f.accepting
-	// A request that arrives on an idle connection from now on might not end in time.
-	f.g.draining.Store(true)
+	select {
+	case <-f.accepting:
+	case <-ctx.Done():
+		_ = f.clients.Close()
+	}
 	f.mu.Lock()
 	servers := f.servers
 	f.mu.Unlock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -126,8 +126,6 @@
 	placementCosts decision.PlacementCosts
 	metrics        *metrics
 	stopping       atomic.Bool
-	// draining is set once the listener for clients is closed.
-	draining       atomic.Bool
 	stopPhase      *stopPhase
 	slowdowns      slowdowns
 	retryBudgets   retryBudgets
@@ -261,11 +259,12 @@
 // that are still active at the end get an answer.
 func (g *Gateway) stop(frontend *frontend) {
 	startedAt := time.Now()
-	telemetry.Info(g.opts.Logger, "stopping", "requests", g.metrics.activeRequests.Load())
+	times := newStopTimes(startedAt, g.opts.BalancerGrace, g.opts.DrainLimit)
+	g.stopPhase.begin(times)
 	g.stopping.Store(true)
-	g.stopPhase.begin(g.opts.DrainLimit)
-	time.Sleep(acceptTime(g.opts.BalancerGrace, g.opts.DrainLimit))
-	ctx, cancel := context.WithDeadline(context.Background(), startedAt.Add(g.opts.DrainLimit))
+	telemetry.Info(g.opts.Logger, "stopping", "requests", g.metrics.activeRequests.Load())
+	time.Sleep(time.Until(times.accept))
+	ctx, cancel := context.WithDeadline(context.Background(), times.stop)
 	defer cancel()
 	busy := frontend.shutdown(ctx)
 	telemetry.Info(g.opts.Logger, "stop", "took_ms", time.Since(startedAt).Milliseconds(), "cut", g.metrics.activeRequests.Load(), "busy_connections", busy)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -93,9 +93,6 @@
 	}
 	req, failure := g.admit(w, r)
 	defer req.releaseBody()
-	if failure == nil && g.draining.Load() {
-		failure = stoppingError()
-	}
 	if failure != nil {
 		g.respondError(w, req, failure)
 		return
@@ -156,6 +153,10 @@
 	if failure := g.ineligibleError(req); failure != nil {
 		return req, failure
 	}
+	// The request has been read. If it came later, it might not end in time.
+	if g.stopPhase.acceptEnded() {
+		return req, stoppingError()
+	}
 	return req, g.quarantinedPartError(r.Context(), req)
 }
 
@@ -197,8 +198,8 @@
 }
 
 // stoppingRetryAfter is the delay after which clients are asked to retry if their request
-// arrives on an open connection after the listener was closed. Their next connection leads
-// to another process.
+// arrives on an open connection after the time in which a stop accepts requests. Their next
+// connection leads to another process.
 const stoppingRetryAfter = 50 * time.Millisecond
 
 // notReadyRetryAfter is the delay after which clients are asked to retry if the
--- a/gateway/stopphase.go
+++ b/gateway/stopphase.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,13 +28,28 @@
 var errStopping = errors.New("this process stops")
 
 // stopPhase is the state of a graceful stop. Its contexts are active until the phase of the
-// stop that they name.
+// stop that they name, and end later than it in a process with little processor time. What
+// may still be begun is decided by the clock.
 type stopPhase struct {
+	times            atomic.Pointer[stopTimes]
 	dispatch, answer context.Context
 	endDispatch      context.CancelFunc
 	endAnswer        context.CancelCauseFunc
 }
 
+// stopTimes holds the ends of the phases of a stop.
+type stopTimes struct{ accept, dispatch, answer, stop time.Time }
+
+// newStopTimes returns the times of a stop that began at startedAt.
+func newStopTimes(startedAt time.Time, balancerGrace, limit time.Duration) *stopTimes {
+	return &stopTimes{
+		accept:   startedAt.Add(acceptTime(balancerGrace, limit)),
+		dispatch: startedAt.Add(time.Duration(maxDispatchFraction * float64(limit))),
+		answer:   startedAt.Add(max(limit-stopAnswerTime, 0)),
+		stop:     startedAt.Add(limit),
+	}
+}
+
 func newStopPhase() *stopPhase {
 	p := &stopPhase{}
 	p.dispatch, p.endDispatch = context.WithCancel(context.Background())
@@ -41,14 +57,24 @@
 	return p
 }
 
-// begin starts the phases of a stop that lasts for limit.
-func (p *stopPhase) begin(limit time.Duration) {
-	time.AfterFunc(time.Duration(maxDispatchFraction*float64(limit)), p.endDispatch)
-	time.AfterFunc(max(limit-stopAnswerTime, 0), func() { p.endAnswer(errStopping) })
+// begin starts the phases of a stop.
+func (p *stopPhase) begin(times *stopTimes) {
+	p.times.Store(times)
+	time.AfterFunc(time.Until(times.dispatch), p.endDispatch)
+	time.AfterFunc(time.Until(times.answer), func() { p.endAnswer(errStopping) })
+}
+
+// acceptEnded reports whether requests that have not been accepted are refused.
+func (p *stopPhase) acceptEnded() bool {
+	times := p.times.Load()
+	return times != nil && !time.Now().Before(times.accept)
 }
 
 // dispatchEnded reports whether requests that no target has received are refused.
-func (p *stopPhase) dispatchEnded() bool { return p.dispatch.Err() != nil }
+func (p *stopPhase) dispatchEnded() bool {
+	times := p.times.Load()
+	return times != nil && !time.Now().Before(times.dispatch)
+}
 
 // stoppingError returns the error for a request that the stopping process refuses. No
 // target has run it.
--- a/gateway/stopphase_test.go
+++ b/gateway/stopphase_test.go
@@ -31,7 +31,7 @@
 		cancelEnded()
 		active, cancel := p.requestContext(context.Background())
 		defer cancel()
-		p.begin(0)
+		p.begin(newStopTimes(time.Now(), 0, 0))
 		<-active.Done()
 		So(context.Cause(active), ShouldEqual, errStopping)
 		So(context.Cause(ended), ShouldEqual, context.Canceled)
@@ -39,3 +39,29 @@
 		So(p.dispatchEnded(), ShouldBeTrue)
 	})
 }
+
+// TestStopPhasesEndByTheClock guards against a stop that begins work after the time for it,
+// because the goroutines and timers that end its phases got no processor time.
+func TestStopPhasesEndByTheClock(t *testing.T) {
+	Convey("What may be begun depends on the time since the start of the stop alone", t, func() {
+		const limit, accept = 9 * time.Minute, 2 * time.Minute
+		for _, c := range []struct {
+			since                      time.Duration
+			acceptEnded, dispatchEnded bool
+		}{
+			{accept - time.Minute, false, false},
+			{accept, true, false},
+			{limit/2 + time.Minute, true, false},
+			{limit * 2 / 3, true, true},
+			{limit + time.Minute, true, true},
+		} {
+			p := newStopPhase()
+			So(p.acceptEnded(), ShouldBeFalse)
+			So(p.dispatchEnded(), ShouldBeFalse)
+			// No timer and no goroutine takes part.
+			p.times.Store(newStopTimes(time.Now().Add(-c.since), accept, limit))
+			So(p.acceptEnded(), ShouldEqual, c.acceptEnded)
+			So(p.dispatchEnded(), ShouldEqual, c.dispatchEnded)
+		}
+	})
+}
--- /dev/null
+++ b/internal/soak/stopquota_test.go
@@ -0,0 +1,156 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/quetzalglade/quetzalglade/platform"
+)
+
+// A gateway with little processor time: it runs for quotaRunTime of each quotaPeriod.
+const (
+	quotaPeriod  = 100 * time.Millisecond
+	quotaRunTime = 30 * time.Millisecond
+)
+
+// Streams of a stop with little processor time, measured from SIGTERM. Each is sent on a
+// connection of its own and lasts longer than the rest of the stop.
+const (
+	firstLateStream  = 2500 * time.Millisecond
+	lastLateStream   = 4 * time.Second
+	lateOpened       = 60
+	lateKept         = 30
+	lateStreamEvents = 300
+)
+
+// TestStarvedStopPassesOnNoLateStream guards against a stop that takes requests for longer than
+// its limit allows and cuts them at its end, because it gets little processor time while clients
+// go on opening connections.
+func TestStarvedStopPassesOnNoLateStream(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	for _, w := range f.workers {
+		w.events = func() int { return lateStreamEvents }
+	}
+	g := f.gateways[0]
+	clients := make([]*client, lateOpened+lateKept)
+	for n := range clients {
+		clients[n] = &client{number: n, gateways: []*gateway{g}, random: rand.New(rand.NewPCG(1, uint64(n)))}
+		if n >= lateOpened {
+			if e, connected := clients[n].exchange(); !connected || !e.complete {
+				t.Errorf("request before the stop: %v", e.err)
+			}
+		}
+		clients[n].streams = 1
+	}
+	var mu sync.Mutex
+	var exchanges []exchange
+	record := func(e exchange) {
+		mu.Lock()
+		defer mu.Unlock()
+		exchanges = append(exchanges, e)
+	}
+	var wg sync.WaitGroup
+	// The process stops as long as it may, since a stream is in progress.
+	first := &client{number: len(clients), gateways: f.gateways, random: rand.New(rand.NewPCG(1, 0)), streams: 1}
+	wg.Go(func() {
+		defer first.close()
+		if e, connected := first.exchange(); connected {
+			record(e)
+		}
+	})
+	for f.log.count() <= lateKept {
+		time.Sleep(time.Millisecond)
+	}
+	exited := g.exit()
+	stopAt := time.Now()
+	g.signal(syscall.SIGTERM)
+	g.awaitStopping()
+	ended := make(chan struct{})
+	var quota sync.WaitGroup
+	quota.Go(func() { g.limitRunTime(quotaRunTime, ended) })
+	for n, c := range clients {
+		share := float64(n) / lateOpened
+		if n >= lateOpened {
+			share = float64(n-lateOpened) / lateKept
+		}
+		at := firstLateStream + time.Duration(share*float64(lastLateStream-firstLateStream))
+		wg.Go(func() {
+			defer c.close()
+			time.Sleep(time.Until(stopAt.Add(at)))
+			select {
+			case <-exited:
+				return
+			default:
+			}
+			if e, connected := c.exchange(); connected {
+				record(e)
+			}
+		})
+	}
+	wg.Wait()
+	close(ended)
+	quota.Wait()
+	var late, refused int
+	for _, e := range exchanges {
+		if e.complete && e.status == http.StatusServiceUnavailable {
+			refused++
+		}
+		if e.sentAt.Before(stopAt.Add(lateSigterm)) {
+			continue
+		}
+		late++
+		if passedOn := len(f.log.of(e.id)) > 0; passedOn {
+			t.Errorf("%s, kept %v: sent %.3f s after SIGTERM and passed on, complete %v", e.id, e.kept, e.sentAt.Sub(stopAt).Seconds(), e.complete)
+		}
+	}
+	t.Logf("%d streams were refused, %d were sent later than %v after SIGTERM", refused, late, lateSigterm)
+	if refused == 0 {
+		t.Error("no stream has reached the process after the time in which it accepts requests")
+	}
+	report(t, f, exchanges)
+}
+
+// exit returns a channel that is closed when the current process has ended.
+func (g *gateway) exit() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.exited
+}
+
+// count returns the number of requests that have arrived.
+func (l *workerLog) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.arrivals)
+}
+
+// awaitStopping waits until the process has begun to stop.
+func (g *gateway) awaitStopping() {
+	client := &http.Client{Timeout: readinessTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	for {
+		resp, err := client.Get("http://" + g.ready + platform.ReadyPath)
+		if err != nil {
+			return
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return
+		}
+	}
+}
+
+// limitRunTime lets the process run for a part of each quotaPeriod only, until ended is closed.
+func (g *gateway) limitRunTime(runTime time.Duration, ended <-chan struct{}) {
+	for {
+		g.stall(quotaPeriod - runTime)
+		select {
+		case <-ended:
+			return
+		case <-time.After(runTime):
+		}
+	}
+}
