httpserve: a stop ends reads whose deadline the server has replaced

Cause: net/http sets the idle deadline after it has reported the connection as idle. If the stop ended the reads in between, its deadline was replaced, and it did not set it again.

Fix: the stop sets the deadline again if another one is in force and nothing has arrived since the last response.

--- a/internal/httpserve/conn.go
+++ b/internal/httpserve/conn.go
@@ -25,6 +25,10 @@
 	received atomic.Bool
 	// idle is set while no request of the connection is served.
 	idle atomic.Bool
+
+	// mu guards readDeadline and is held while it is set.
+	mu           sync.Mutex
+	readDeadline time.Time
 }
 
 // Read implements net.Conn. It extends a deadline that has passed once, if there is unread
@@ -84,12 +88,24 @@
 
 // SetReadDeadline implements net.Conn.
 func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.extended.Store(false)
+	c.readDeadline = t
 	return c.TCPConn.SetReadDeadline(t)
 }
 
 // SetDeadline implements net.Conn.
 func (c *conn) SetDeadline(t time.Time) error {
-	c.extended.Store(false)
-	return c.TCPConn.SetDeadline(t)
+	if err := c.SetWriteDeadline(t); err != nil {
+		return err
+	}
+	return c.SetReadDeadline(t)
+}
+
+// readsEnded reports whether the reads have been ended by a deadline that nobody has replaced.
+func (c *conn) readsEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.readDeadline.Equal(pastDeadline)
 }
--- a/internal/httpserve/connections.go
+++ b/internal/httpserve/connections.go
@@ -84,7 +84,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, s := range c.states {
-		if s.state == http.StateActive || s.expired {
+		w := wrapped(conn)
+		// The server may have replaced the deadline with that of idle connections.
+		replaced := w != nil && !w.readsEnded() && !w.received.Load()
+		if s.state == http.StateActive || s.expired && !replaced {
 			continue
 		}
 		_ = conn.SetReadDeadline(pastDeadline)
--- a/internal/httpserve/shutdown_test.go
+++ b/internal/httpserve/shutdown_test.go
@@ -74,6 +74,20 @@
 	exchange(client, server, "late")
 }
 
+// Guards against a stop that lasts to its limit because the server has replaced the deadline that
+// ends the reads of an idle connection.
+func TestStopEndsReadsWhoseDeadlineWasReplaced(t *testing.T) {
+	_, server := acceptPair(t)
+	conns := NewConnections()
+	conns.SetState(server, http.StateIdle)
+	conns.expireIdle()
+	_ = server.SetReadDeadline(time.Now().Add(time.Minute))
+	conns.expireIdle()
+	if _, err := server.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("read of an idle connection in the stop: %v, want a timeout", err)
+	}
+}
+
 // Stalls of a process that closes its idle connections.
 const (
 	sweepStalls   = 12
