httpserve: a stop hands finished answers of slow clients to the system

Cause: the handler waits for room in the send buffer of the client's connection. Behind a link with segments of 1,400 bytes the system starts with a small buffer, which does not grow while the client reads slowly. At its end the stop closes the connection.

Fix: in the last second of a stop (half of a shorter one) the send buffers of connections that carry a request are set to the largest size that the system allows, never to a smaller one than they have. The handler then writes the rest and ends, the connection is closed in order, and the system delivers the data after the end of the process. Nothing is written that a handler would not have written: a stream that is still at work is cut as before.

Limit: what the system takes.

--- a/internal/httpserve/conn.go
+++ b/internal/httpserve/conn.go
@@ -25,6 +25,8 @@
 	received atomic.Bool
 	// idle is set while no request of the connection is served.
 	idle atomic.Bool
+	// grown is set once the send buffer has been enlarged.
+	grown atomic.Bool
 
 	// mu guards readDeadline and is held while it is set.
 	mu           sync.Mutex
--- a/internal/httpserve/connections.go
+++ b/internal/httpserve/connections.go
@@ -118,8 +118,24 @@
 	// quietPeriod is how long no connection may carry a request before idle ones are closed.
 	// A connection counts as idle until the header of its next request has been read.
 	quietPeriod = 50 * time.Millisecond
+	// lastWriteTime is the time before the end of a stop from which on responses are handed to
+	// the system as far as it takes them.
+	lastWriteTime = time.Second
 )
 
+// growSendBuffers enlarges the send buffers of the connections that carry a request. A response
+// that is complete then no longer waits for a client that reads slowly: the system delivers it,
+// also after the end of the process.
+func (c *Connections) growSendBuffers() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, s := range c.states {
+		if w := wrapped(conn); w != nil && s.state == http.StateActive {
+			w.growSendBuffer()
+		}
+	}
+}
+
 // Close waits until no connection carries a request or is to send its first one, lets the
 // server close the connections, and returns once all are closed or ctx ends. It returns the
 // number of connections that then still carry a request or have unread data. The listener
@@ -128,10 +144,14 @@
 func (c *Connections) Close(ctx context.Context) (busy int) {
 	startedAt := time.Now()
 	busyAt := startedAt
+	endsAt, limited := ctx.Deadline()
 	ticker := time.NewTicker(connPollPeriod)
 	defer ticker.Stop()
 	for {
 		now := time.Now()
+		if limited && endsAt.Sub(now) <= min(lastWriteTime, endsAt.Sub(startedAt)/2) {
+			c.growSendBuffers()
+		}
 		active, opened := c.count()
 		if active > 0 || opened > 0 && now.Sub(startedAt) < firstRequestTimeout {
 			busyAt = now
