--- a/internal/httpserve/connections.go
+++ b/internal/httpserve/connections.go
@@ -43,8 +43,11 @@
 	if state == http.StateActive && c.states[conn].expired {
 		_ = conn.SetReadDeadline(time.Time{})
 	}
-	if w := wrapped(conn); w != nil && state == http.StateIdle {
-		w.received.Store(false)
+	if w := wrapped(conn); w != nil {
+		if state == http.StateIdle {
+			w.received.Store(false)
+		}
+		w.idle.Store(state != http.StateActive)
 	}
 	c.states[conn] = connState{state: state}
 }
@@ -72,16 +75,22 @@
 	return active, opened
 }
 
+// pastDeadline ends reads at once.
+var pastDeadline = time.Unix(1, 0)
+
 // expireIdle ends the reads of the connections that carry no request. The server then closes
 // those that have no unread data, see conn.Read. It returns the number of open connections.
 func (c *Connections) expireIdle() (open int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, s := range c.states {
-		if s.state == http.StateActive || s.expired {
+		w := wrapped(conn)
+		// The server may have replaced the deadline with that of idle connections.
+		replaced := w != nil && !w.readsEnded() && !w.received.Load()
+		if s.state == http.StateActive || s.expired && !replaced {
 			continue
 		}
-		_ = conn.SetReadDeadline(time.Unix(1, 0))
+		_ = conn.SetReadDeadline(pastDeadline)
 		c.states[conn] = connState{state: s.state, expired: true}
 	}
 	return len(c.states)
@@ -109,8 +118,24 @@
 	// quietPeriod is how long no connection may carry a request before idle ones are closed.
 	// A connection counts as idle until the header of its next request has been read.
 	quietPeriod = 50 * time.Millisecond
+	// lastWriteTime is the time before the end of a stop from which on responses are handed to
+	// the system as far as it takes them.
+	lastWriteTime = time.Second
 )
 
+// growSendBuffers enlarges the send buffers of the connections that carry a request. A response
+// that is complete then no longer waits for a client that reads slowly: the system delivers it,
+// also after the end of the process.
+func (c *Connections) growSendBuffers() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, s := range c.states {
+		if w := wrapped(conn); w != nil && s.state == http.StateActive {
+			w.growSendBuffer()
+		}
+	}
+}
+
 // Close waits until no connection carries a request or is to send its first one, lets the
 // server close the connections, and returns once all are closed or ctx ends. It returns the
 // number of connections that then still carry a request or have unread data. The listener
@@ -119,10 +144,14 @@
 func (c *Connections) Close(ctx context.Context) (busy int) {
 	startedAt := time.Now()
 	busyAt := startedAt
+	endsAt, limited := ctx.Deadline()
 	ticker := time.NewTicker(connPollPeriod)
 	defer ticker.Stop()
 	for {
 		now := time.Now()
+		if limited && endsAt.Sub(now) <= min(lastWriteTime, endsAt.Sub(startedAt)/2) {
+			c.growSendBuffers()
+		}
 		active, opened := c.count()
 		if active > 0 || opened > 0 && now.Sub(startedAt) < firstRequestTimeout {
 			busyAt = now
