gateway: the answers at the end of a stop have time to be written

Callers saw connections that ended without an answer at the end of a stop.

Cause: the requests in progress were answered 150 ms before the stop closed all connections. A process that did not run at that time, or has little processor time, closed them while it wrote the answers.

The answers are due 400 ms before the end, which is now 150 ms before the process is killed, so they are given at the same time after SIGTERM as before. If they are due while the process does not run, the end waits 100 ms for them.

--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -54,8 +54,8 @@
 	defaultBalancerGrace = 2500 * time.Millisecond
 	defaultStopLimit     = 8 * time.Second
 	// stopMargin is the time between the end of a graceful stop and the time at
-	// which the process is killed.
-	stopMargin = 400 * time.Millisecond
+	// which the process is killed. All answers have been written before.
+	stopMargin = 150 * time.Millisecond
 )
 
 // DefaultSettings returns the settings that apply where a settings file sets
--- a/gateway/stopphase.go
+++ b/gateway/stopphase.go
@@ -20,8 +20,13 @@
 	// passed on. Later it might be cut off, while another gateway can serve it.
 	maxDispatchFraction = 2.0 / 3
 	// stopAnswerTime is the time before the end of the stop at which the requests in
-	// progress are answered.
-	stopAnswerTime = 150 * time.Millisecond
+	// progress are answered. It lets a process with little processor time write the answers.
+	// In a short stop it is maxAnswerFraction of the limit.
+	stopAnswerTime    = 400 * time.Millisecond
+	maxAnswerFraction = 1 - maxDispatchFraction
+	// minAnswerTime is the time for these answers in a process that did not run when they
+	// were due.
+	minAnswerTime = 100 * time.Millisecond
 )
 
 // errStopping ends what can't be completed before the process ends.
@@ -31,10 +36,10 @@
 // stop that they name, and end later than it in a process with little processor time. What
 // may still be begun is decided by the clock.
 type stopPhase struct {
-	times            atomic.Pointer[stopTimes]
-	dispatch, answer context.Context
-	endDispatch      context.CancelFunc
-	endAnswer        context.CancelCauseFunc
+	times                  atomic.Pointer[stopTimes]
+	dispatch, answer, stop context.Context
+	endDispatch, endStop   context.CancelFunc
+	endAnswer              context.CancelCauseFunc
 }
 
 // stopTimes holds the ends of the phases of a stop.
@@ -45,7 +50,7 @@
 	return &stopTimes{
 		accept:   startedAt.Add(acceptTime(balancerGrace, limit)),
 		dispatch: startedAt.Add(time.Duration(maxDispatchFraction * float64(limit))),
-		answer:   startedAt.Add(max(limit-stopAnswerTime, 0)),
+		answer:   startedAt.Add(limit - answerTime(limit)),
 		stop:     startedAt.Add(limit),
 	}
 }
@@ -54,6 +59,7 @@
 	p := &stopPhase{}
 	p.dispatch, p.endDispatch = context.WithCancel(context.Background())
 	p.answer, p.endAnswer = context.WithCancelCause(context.Background())
+	p.stop, p.endStop = context.WithCancel(context.Background())
 	return p
 }
 
@@ -61,7 +67,10 @@
 func (p *stopPhase) begin(times *stopTimes) {
 	p.times.Store(times)
 	time.AfterFunc(time.Until(times.dispatch), p.endDispatch)
-	time.AfterFunc(time.Until(times.answer), func() { p.endAnswer(errStopping) })
+	time.AfterFunc(time.Until(times.answer), func() {
+		p.endAnswer(errStopping)
+		time.AfterFunc(max(time.Until(times.stop), minAnswerTime), p.endStop)
+	})
 }
 
 // acceptEnded reports whether requests that have not been accepted are refused.
@@ -97,3 +106,9 @@
 func acceptTime(balancerGrace, limit time.Duration) time.Duration {
 	return min(balancerGrace, time.Duration(maxAcceptFraction*float64(limit)))
 }
+
+// answerTime returns how long before the end of a stop with the given limit the requests in
+// progress are answered.
+func answerTime(limit time.Duration) time.Duration {
+	return min(stopAnswerTime, time.Duration(maxAnswerFraction*float64(limit)))
+}
--- a/gateway/stopphase_test.go
+++ b/gateway/stopphase_test.go
@@ -22,6 +22,26 @@
 	})
 }
 
+// TestAnswersHaveTimeAtTheEndOfTheStop guards against a stop that closes the connections while it
+// writes the answers to the requests in progress.
+func TestAnswersHaveTimeAtTheEndOfTheStop(t *testing.T) {
+	Convey("The answers are due before the end, and after the time for new work", t, func() {
+		for _, limit := range []time.Duration{0, 100 * time.Millisecond, time.Second, defaultStopLimit - stopMargin, time.Minute} {
+			times := newStopTimes(time.Now(), defaultBalancerGrace, limit)
+			So(times.stop.Sub(times.answer), ShouldEqual, min(stopAnswerTime, limit/3))
+			So(times.answer, ShouldHappenOnOrAfter, times.dispatch)
+		}
+	})
+	Convey("They get their time when they are due late", t, func() {
+		p := newStopPhase()
+		begunAt := time.Now()
+		p.begin(newStopTimes(begunAt.Add(-time.Minute), 0, time.Second))
+		<-p.answer.Done()
+		<-p.stop.Done()
+		So(time.Since(begunAt), ShouldBeGreaterThanOrEqualTo, minAnswerTime)
+	})
+}
+
 // TestRequestContextEndsWithTheStop guards against requests that hold contexts after their
 // end, and against a stop that is taken for a client that has left.
 func TestRequestContextEndsWithTheStop(t *testing.T) {
@@ -36,6 +56,7 @@
 		So(context.Cause(active), ShouldEqual, errStopping)
 		So(context.Cause(ended), ShouldEqual, context.Canceled)
 		<-p.dispatch.Done()
+		<-p.stop.Done()
 		So(p.dispatchEnded(), ShouldBeTrue)
 	})
 }
--- a/internal/soak/stopquota_test.go
+++ b/internal/soak/stopquota_test.go
@@ -1,7 +1,11 @@
 package soak
 
 import (
+	"bufio"
+	"fmt"
+	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"syscall"
@@ -114,6 +118,77 @@
 	report(t, f, exchanges)
 }
 
+// Calls of silent workers at the end of a stop, and a stall that covers the time from which they
+// are answered.
+const (
+	silentCalls    = 100
+	silentCallTime = 30 * time.Second
+	endStallOffset = 7300 * time.Millisecond
+	endStallTime   = 350 * time.Millisecond
+)
+
+// TestStalledStopAnswersCallsAtItsEnd guards against a stop that cuts off calls without an answer
+// at its end, because the process got no processor time when their answers were due.
+func TestStalledStopAnswersCallsAtItsEnd(t *testing.T) {
+	f := newFleet(t, 1, 0)
+	f.configure(func(c object) {
+		for _, r := range c["routes"].([]object) {
+			r["timeout_ms"] = silentCallTime.Milliseconds()
+		}
+	})
+	for _, w := range f.workers {
+		w.callTime = func() time.Duration { return silentCallTime }
+	}
+	g := startGateway(t, "edge", f.store.Addr())
+	f.gateways = append(f.gateways, g)
+	f.awaitReady(g)
+	errs := make(chan error, silentCalls)
+	for n := range silentCalls {
+		c, err := net.DialTimeout("tcp", g.front, connectTimeout)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		_, err = fmt.Fprintf(c, "POST /book/%d HTTP/1.1\r\nHost: %s\r\nX-Request-Id: silent-%d\r\nX-Key: %s\r\nX-Deadline-Ms: %d\r\nContent-Length: 0\r\n\r\n",
+			n, hostname, n, apiKey, silentCallTime.Milliseconds())
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { errs <- awaitStatus(c, http.StatusBadGateway) }()
+	}
+	for f.log.count() < silentCalls {
+		time.Sleep(time.Millisecond)
+	}
+	stopAt := time.Now()
+	g.signal(syscall.SIGTERM)
+	time.Sleep(time.Until(stopAt.Add(endStallOffset)))
+	g.stall(endStallTime)
+	unanswered := 0
+	for range silentCalls {
+		if err := <-errs; err != nil {
+			unanswered++
+			t.Log(err)
+		}
+	}
+	if unanswered > 0 {
+		t.Errorf("%d of %d calls got no whole answer", unanswered, silentCalls)
+	}
+}
+
+// awaitStatus reads a whole response with the given status.
+func awaitStatus(c net.Conn, status int) error {
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode != status {
+		err = fmt.Errorf("status %d: %s", resp.StatusCode, body)
+	}
+	return err
+}
+
 // exit returns a channel that is closed when the current process has ended.
 func (g *gateway) exit() <-chan struct{} {
 	g.mu.Lock()
