gateway: a stream that waited for its target is not passed on late in a stop

Callers saw a stream that its gateway began when two thirds of its stop were over, and that the end of the stop cuts.

Cause: the phase in which requests are passed on was checked before the wait for a target that sheds load, not after it.

The check is repeated before the first target of a request gets it, by the clock. Such a request is refused as not run.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -272,6 +272,10 @@
 	}
 	at.conn = conn
 	at.stopCloseOnDone = conn.CloseOnDone(ctx)
+	// The request may have waited for its target.
+	if len(req.sentTo) == 0 && g.stopPhase.dispatchEnded() {
+		return at, errStopping
+	}
 	// The state of the targets may have changed while the connection was opened.
 	eligible := g.eligibility(req)
 	if !eligible.allows(t) {
