--- a/internal/soak/stopquota_test.go
+++ b/internal/soak/stopquota_test.go
@@ -40,32 +40,12 @@
 		w.events = func() int { return lateStreamEvents }
 	}
 	g := f.gateways[0]
-	clients := make([]*client, lateOpened+lateKept)
-	for n := range clients {
-		clients[n] = &client{number: n, gateways: []*gateway{g}, random: rand.New(rand.NewPCG(1, uint64(n)))}
-		if n >= lateOpened {
-			if e, connected := clients[n].exchange(); !connected || !e.complete {
-				t.Errorf("request before the stop: %v", e.err)
-			}
-		}
-		clients[n].streams = 1
-	}
-	var mu sync.Mutex
-	var exchanges []exchange
-	record := func(e exchange) {
-		mu.Lock()
-		defer mu.Unlock()
-		exchanges = append(exchanges, e)
-	}
+	clients := newLateClients(t, g)
+	recorded := make(chan exchange, len(clients)+1)
 	var wg sync.WaitGroup
 	// The process stops as long as it may, since a stream is in progress.
 	first := &client{number: len(clients), gateways: f.gateways, random: rand.New(rand.NewPCG(1, 0)), streams: 1}
-	wg.Go(func() {
-		defer first.close()
-		if e, connected := first.exchange(); connected {
-			record(e)
-		}
-	})
+	wg.Go(func() { first.exchangeOnce(recorded) })
 	for f.log.count() <= lateKept {
 		time.Sleep(time.Millisecond)
 	}
@@ -77,27 +57,61 @@
 	var quota sync.WaitGroup
 	quota.Go(func() { g.limitRunTime(quotaRunTime, ended) })
 	for n, c := range clients {
-		share := float64(n) / lateOpened
-		if n >= lateOpened {
-			share = float64(n-lateOpened) / lateKept
-		}
-		at := firstLateStream + time.Duration(share*float64(lastLateStream-firstLateStream))
 		wg.Go(func() {
-			defer c.close()
-			time.Sleep(time.Until(stopAt.Add(at)))
+			time.Sleep(time.Until(stopAt.Add(lateMoment(n))))
 			select {
 			case <-exited:
-				return
 			default:
-			}
-			if e, connected := c.exchange(); connected {
-				record(e)
+				c.exchangeOnce(recorded)
 			}
 		})
 	}
 	wg.Wait()
 	close(ended)
 	quota.Wait()
+	close(recorded)
+	var exchanges []exchange
+	for e := range recorded {
+		exchanges = append(exchanges, e)
+	}
+	f.checkLateStreams(exchanges, stopAt)
+	report(t, f, exchanges)
+}
+
+// newLateClients returns clients of streams. The last ones have kept a connection.
+func newLateClients(t *testing.T, g *gateway) []*client {
+	clients := make([]*client, lateOpened+lateKept)
+	for n := range clients {
+		clients[n] = &client{number: n, gateways: []*gateway{g}, random: rand.New(rand.NewPCG(1, uint64(n)))}
+		if n >= lateOpened {
+			if e, connected := clients[n].exchange(); !connected || !e.complete {
+				t.Errorf("request before the stop: %v", e.err)
+			}
+		}
+		clients[n].streams = 1
+	}
+	return clients
+}
+
+// lateMoment returns when the client with the given number sends its stream.
+func lateMoment(n int) time.Duration {
+	share := float64(n) / lateOpened
+	if n >= lateOpened {
+		share = float64(n-lateOpened) / lateKept
+	}
+	return firstLateStream + time.Duration(share*float64(lastLateStream-firstLateStream))
+}
+
+// exchangeOnce sends one request and closes the connection.
+func (c *client) exchangeOnce(recorded chan<- exchange) {
+	defer c.close()
+	if e, connected := c.exchange(); connected {
+		recorded <- e
+	}
+}
+
+// checkLateStreams checks that no stream that was sent late in the stop has reached a worker.
+func (f *fleet) checkLateStreams(exchanges []exchange, stopAt time.Time) {
 	var late, refused int
 	for _, e := range exchanges {
 		if e.complete && e.status == http.StatusServiceUnavailable {
@@ -108,14 +122,13 @@
 		}
 		late++
 		if passedOn := len(f.log.of(e.id)) > 0; passedOn {
-			t.Errorf("%s, kept %v: sent %.3f s after SIGTERM and passed on, complete %v", e.id, e.kept, e.sentAt.Sub(stopAt).Seconds(), e.complete)
+			f.t.Errorf("%s, kept %v: sent %.3f s after SIGTERM and passed on, complete %v", e.id, e.kept, e.sentAt.Sub(stopAt).Seconds(), e.complete)
 		}
 	}
-	t.Logf("%d streams were refused, %d were sent later than %v after SIGTERM", refused, late, lateSigterm)
+	f.t.Logf("%d streams were refused, %d were sent later than %v after SIGTERM", refused, late, lateSigterm)
 	if refused == 0 {
-		t.Error("no stream has reached the process after the time in which it accepts requests")
+		f.t.Error("no stream has reached the process after the time in which it accepts requests")
 	}
-	report(t, f, exchanges)
 }
 
 // Calls of silent workers at the end of a stop, and a stall that covers the time from which they
