httpserve: a stop closes idle connections before its end, also beside requests

What callers saw: a stream that lasts to the end of a gateway's stop keeps all kept connections open until then. A request that arrives on one of them while the process is stalled is closed unread at the end, 0.28 s after its last byte, not passed on.

Cause: idle connections were closed only once no connection carried a request. At the limit of the stop http.Server.Close closes the rest without a look at what has arrived.

Fix: in the last second of a stop (half of a shorter one) the reads of idle connections are ended also while others carry requests; each reader decides with the step that shuts its connection down, so a request that has arrived is answered, and one that arrives later is reset at once. A connection with a part of a header gets half of that time more.

TestStopClosesIdleConnectionsBesideARequest fails without the change (5 s without an end).

--- a/internal/httpserve/connections.go
+++ b/internal/httpserve/connections.go
@@ -79,15 +79,17 @@
 var pastDeadline = time.Unix(1, 0)
 
 // expireIdle ends the reads of the connections that carry no request. The server then closes
-// those that have no unread data, see conn.Read. It returns the number of open connections.
-func (c *Connections) expireIdle() (open int) {
+// those that have no unread data, see conn.Read. A connection that has sent a part of a
+// request's header is left out unless parts is set. It returns the number of open connections.
+func (c *Connections) expireIdle(parts bool) (open int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, s := range c.states {
 		w := wrapped(conn)
 		// The server may have replaced the deadline with that of idle connections.
-		replaced := w != nil && !w.readsEnded() && !w.received.Load()
-		if s.state == http.StateActive || s.expired && !replaced {
+		hasPart := w != nil && w.received.Load()
+		replaced := w != nil && !w.readsEnded() && !hasPart
+		if s.state == http.StateActive || s.expired && !replaced || hasPart && !parts {
 			continue
 		}
 		_ = conn.SetReadDeadline(pastDeadline)
@@ -118,9 +120,11 @@
 	// quietPeriod is how long no connection may carry a request before idle ones are closed.
 	// A connection counts as idle until the header of its next request has been read.
 	quietPeriod = 50 * time.Millisecond
-	// lastWriteTime is the time before the end of a stop from which on responses are handed to
-	// the system as far as it takes them.
-	lastWriteTime = time.Second
+	// lastPhaseTime is the time before the end of a stop from which on responses are handed to
+	// the system as far as it takes them, and idle connections are closed also while others
+	// carry requests: the end of the stop would close a connection whose request has arrived.
+	// It exceeds maxDiscardTime of gateways, so that a request that arrives before is answered.
+	lastPhaseTime = time.Second
 )
 
 // growSendBuffers enlarges the send buffers of the connections that carry a request. A response
@@ -140,23 +144,26 @@
 // server close the connections, and returns once all are closed or ctx ends. It returns the
 // number of connections that then still carry a request or have unread data. The listener
 // must be closed, and responses must end their connections. Idle connections stay open
-// meanwhile: one whose request is being read would be closed although the request is served.
+// until the last phase of the stop, so that their requests are answered.
 func (c *Connections) Close(ctx context.Context) (busy int) {
 	startedAt := time.Now()
 	busyAt := startedAt
 	endsAt, limited := ctx.Deadline()
+	lastPhase := min(lastPhaseTime, endsAt.Sub(startedAt)/2)
 	ticker := time.NewTicker(connPollPeriod)
 	defer ticker.Stop()
 	for {
 		now := time.Now()
-		if limited && endsAt.Sub(now) <= min(lastWriteTime, endsAt.Sub(startedAt)/2) {
-			c.growSendBuffers()
-		}
 		active, opened := c.count()
 		if active > 0 || opened > 0 && now.Sub(startedAt) < firstRequestTimeout {
 			busyAt = now
 		}
-		if now.Sub(busyAt) >= quietPeriod && c.expireIdle() == 0 {
+		isQuiet := now.Sub(busyAt) >= quietPeriod
+		isLast := limited && endsAt.Sub(now) <= lastPhase
+		if isLast {
+			c.growSendBuffers()
+		}
+		if (isQuiet || isLast) && c.expireIdle(isQuiet || endsAt.Sub(now) <= lastPhase/2) == 0 {
 			return 0
 		}
 		select {
--- a/internal/httpserve/shutdown_test.go
+++ b/internal/httpserve/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -24,7 +25,7 @@
 		client, server := acceptPair(t)
 		conns := NewConnections()
 		conns.SetState(server, state)
-		conns.expireIdle()
+		conns.expireIdle(true)
 		if _, err := server.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
 			t.Fatalf("%v: read of an idle connection in the stop: %v, want a timeout", state, err)
 		}
@@ -65,7 +66,7 @@
 	for !readable(server) {
 		time.Sleep(time.Millisecond)
 	}
-	conns.expireIdle()
+	conns.expireIdle(true)
 	buf := make([]byte, 8)
 	if n, err := server.Read(buf); err != nil || string(buf[:n]) != "GET" {
 		t.Errorf("read of a request that arrived before the end of the reads: %q, %v", buf[:n], err)
@@ -80,14 +81,47 @@
 	_, server := acceptPair(t)
 	conns := NewConnections()
 	conns.SetState(server, http.StateIdle)
-	conns.expireIdle()
+	conns.expireIdle(true)
 	_ = server.SetReadDeadline(time.Now().Add(time.Minute))
-	conns.expireIdle()
+	conns.expireIdle(true)
 	if _, err := server.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Errorf("read of an idle connection in the stop: %v, want a timeout", err)
 	}
 }
 
+// endlessContext is a context whose deadline is near but does not come.
+type endlessContext struct{ context.Context }
+
+func (endlessContext) Deadline() (time.Time, bool) { return time.Now().Add(lastPhaseTime / 4), true }
+
+// Guards against a stop that keeps idle connections open to its end because others carry requests,
+// and then closes them although requests have arrived (issue 56).
+func TestStopClosesIdleConnectionsBesideARequest(t *testing.T) {
+	conns := NewConnections()
+	_, active := acceptPair(t)
+	conns.SetState(active, http.StateActive)
+	client, idle := acceptPair(t)
+	conns.SetState(idle, http.StateIdle)
+	read := make(chan error, 1)
+	go func() {
+		_, err := idle.Read(make([]byte, 1))
+		read <- err
+	}()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan int, 1)
+	go func() { done <- conns.Close(endlessContext{ctx}) }()
+	_ = client.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := client.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("read of the client of an idle connection: %v, want its end", err)
+	}
+	cancel()
+	if busy := <-done; busy == 0 {
+		t.Error("the connection with a request has not been open until the end of the stop")
+	}
+	_ = idle.SetReadDeadline(pastDeadline)
+	<-read
+}
+
 // Stalls of a process that closes its idle connections.
 const (
 	sweepStalls   = 12
