gateway: an upload in progress is refused before the end of a stop

What callers saw: a request whose body was still arriving at the end of a gateway's stop got no answer; its connection was closed under it, also if the last byte came just before.

Cause: after the time in which requests are passed on, a body was read on until its end or that of the process, although the request was to be refused in any case. A refusal that discards the rest of a body could last beyond the end, too.

Fix: when the requests in progress are answered, at the end of the stop, the reads of bodies end as well. A body that has arrived whole by then is read (the connection looks for unread data first) and refused as before; the rest gets the refusal "this process stops", which is true: the request was passed on to nobody. From then on nothing is discarded.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"hash"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -60,6 +62,7 @@
 		content = newFingerprint(req.workspace, r.Method, r.Host, r.RequestURI)
 		options.Observer = content
 	}
+	defer g.endUpload(w)()
 	body, err := g.bodies.Read(r.Context(), r.Body, &options)
 	switch {
 	case err == nil:
@@ -69,20 +72,52 @@
 		}
 		return nil
 	case errors.Is(err, bodybudget.ErrTooLarge):
-		discardBody(w, r, limit+maxDiscardBytes)
+		g.discardBody(w, r, limit+maxDiscardBytes)
 		return result.New(result.BodyTooLarge, result.RanNo, "the body exceeds %d bytes", limit)
 	case errors.Is(err, bodybudget.ErrFull):
 		telemetry.Info(g.opts.Logger, "no memory for body", "request", req.ID, "route", req.route.Name, "priority", req.priority,
 			"declared", r.ContentLength, "held", g.bodies.Used(), "limit", g.bodies.MaxBytes(), "waited_ms", time.Since(startedAt).Milliseconds(), "err", err)
-		discardBody(w, r, limit)
+		g.discardBody(w, r, limit)
 		if g.stopPhase.dispatchEnded() {
 			return stoppingError()
 		}
 		return result.New(result.MemoryFull, result.RanNo, "no memory is free for this body").RetryAfter(memoryRetryAfter)
 	}
+	if g.stopPhase.answer.Err() != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+		w.Header().Set("Connection", "close")
+		return stoppingError()
+	}
 	return result.New(result.InvalidRequest, result.RanNo, "the body could not be read")
 }
 
+// discardBody is like the function of this name, but not once the requests in progress must be
+// answered.
+func (g *Gateway) discardBody(w http.ResponseWriter, r *http.Request, limit int64) {
+	if g.stopPhase.answer.Err() != nil {
+		w.Header().Set("Connection", "close")
+		return
+	}
+	discardBody(w, r, limit)
+}
+
+// endUpload makes reads of the body fail once the requests in progress must be answered. The
+// caller must call cancel when the body has been read.
+func (g *Gateway) endUpload(w http.ResponseWriter) (cancel func()) {
+	controller := http.NewResponseController(w)
+	ended := make(chan struct{})
+	stop := context.AfterFunc(g.stopPhase.answer, func() {
+		defer close(ended)
+		_ = controller.SetReadDeadline(time.Now())
+	})
+	return func() {
+		if !stop() {
+			<-ended
+			// The server reads on beside the response to see whether the client leaves.
+			_ = controller.SetReadDeadline(time.Time{})
+		}
+	}
+}
+
 // discardBody reads the rest of a body without keeping it, for maxDiscardTime at most. A
 // client that waits for a permission to send its body gets the response instead.
 func discardBody(w http.ResponseWriter, r *http.Request, limit int64) {
