soak: requests on the connection of a stream that ends in a stop

TestStopAnswersRequestAfterStream: 96 streams whose heads were sent before SIGTERM, without "Connection: close", end at any time of a stop of 7.6 s; the client sends its next request 0 to 90 ms later on the same connection. Four of eight gateways are stalled for 0.3 s ten times.

--- a/internal/soak/stopread_test.go
+++ b/internal/soak/stopread_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"syscall"
@@ -96,3 +97,76 @@
 	wg.Wait()
 	return exchanges
 }
+
+// Streams that begin before a stop and end in it, at any time.
+const (
+	reuseGateways = 8
+	reuseStreams  = 12
+	// maxReuseEvents is the number of events of a stream that lasts for most of a stop.
+	maxReuseEvents = 240
+	// maxReuseDelay is the longest time from the end of a stream to the next request. Idle
+	// connections of a stop without requests are closed after 50 ms.
+	maxReuseDelay = 90 * time.Millisecond
+	// reuseStalls is the number of stalls of each second gateway.
+	reuseStalls = 10
+)
+
+// TestStopAnswersRequestAfterStream guards against requests that are lost on the connection of a
+// stream whose head did not say that the connection ends, because it was sent before SIGTERM.
+func TestStopAnswersRequestAfterStream(t *testing.T) {
+	f := newFleet(t, 1, 0)
+	for _, w := range f.workers {
+		w.events = func() int { return 1 + rand.IntN(maxReuseEvents) }
+	}
+	var mu sync.Mutex
+	var exchanges []exchange
+	var wg sync.WaitGroup
+	for n := range reuseGateways {
+		g := startGateway(t, fmt.Sprintf("edge-%d", n), f.store.Addr())
+		f.gateways = append(f.gateways, g)
+		wg.Go(func() {
+			f.awaitReady(g)
+			for i := range reuseStreams {
+				c := &client{number: n*reuseStreams + i, gateways: []*gateway{g}, random: rand.New(rand.NewPCG(uint64(n), uint64(i))), streams: 1}
+				wg.Go(func() {
+					defer c.close()
+					streamed, connected := c.exchange()
+					if !connected {
+						return
+					}
+					mu.Lock()
+					exchanges = append(exchanges, streamed)
+					mu.Unlock()
+					if c.conn == nil {
+						return
+					}
+					time.Sleep(time.Duration(c.random.Int64N(int64(maxReuseDelay))))
+					c.streams = 0
+					e, connected := c.exchange()
+					mu.Lock()
+					defer mu.Unlock()
+					if connected && e.kept {
+						exchanges = append(exchanges, e)
+					}
+				})
+			}
+			time.Sleep(eventPeriod)
+			g.signal(syscall.SIGTERM)
+			for range reuseStalls * (n % 2) {
+				time.Sleep(stallTime)
+				g.stall(stallTime)
+			}
+		})
+	}
+	wg.Wait()
+	report(t, f, exchanges)
+	reused := 0
+	for _, e := range exchanges {
+		if e.complete && e.kept {
+			reused++
+		}
+	}
+	if reused == 0 {
+		t.Error("no request got an answer on the connection of a stream")
+	}
+}
