httpserve: a cut response to an HTTP/1.0 client is reset

The close of the connection delimits such a response, since HTTP/1.0 has no chunks.

Cause: a cut closes the connection in order, as the end of a response does.

Fix: while a handler serves a request of HTTP/1.0, a close of its connection resets it. The handler's normal return ends that; an abort (http.ErrAbortHandler) and the close at the end of a stop do not. One line of gateway/front.go uses it for clients.

Evidence: TestCutStreamDoesNotLookCompleteInHTTP10 fails without that line in both cuts, "engine breaks" and "stop ends"; a whole stream is read without an error with and without it.

What remains: the last 4 KiB of a response, which net/http writes after the return of the handler, if they wait for a slow HTTP/1.0 client at the very end of a stop.

--- a/gateway/front.go
+++ b/gateway/front.go
@@ -136,7 +136,7 @@
 	}
 	h := &handoffListener{addr: addr, conns: make(chan net.Conn), done: make(chan struct{})}
 	s := &http.Server{
-		Handler: connguard.Handler(f.g, 0, true), ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout, MaxHeaderBytes: limits.MaxHeaderBytes,
+		Handler: httpserve.ResetCut(connguard.Handler(f.g, 0, true)), ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout, MaxHeaderBytes: limits.MaxHeaderBytes,
 		ConnState: f.conns.SetState, ConnContext: connguard.Context,
 	}
 	f.limits, f.listener = limits, h
--- a/internal/httpserve/conn.go
+++ b/internal/httpserve/conn.go
@@ -27,6 +27,8 @@
 	idle atomic.Bool
 	// grown is set once the send buffer has been enlarged.
 	grown atomic.Bool
+	// resets is set while a close resets the connection, see ResetCut.
+	resets atomic.Bool
 
 	// mu guards readDeadline and is held while it is set.
 	mu           sync.Mutex
