--- a/internal/httpserve/shutdown_test.go
+++ b/internal/httpserve/shutdown_test.go
@@ -145,10 +145,10 @@
 	t.Logf("%d stalls lost %d of %d requests on connections that were open", sweepStalls, lost, open)
 }
 
-// stallWhileClosing stops a process, stalls it while it closes its idle connections, and sends a
-// request on each that is open then. It returns how many of them got no answer.
-func stallWhileClosing(t *testing.T) (lost, open int) {
-	cmd := exec.Command(os.Args[0])
+// startServing starts a process that serves until SIGTERM, and returns its address.
+func startServing(t *testing.T) (cmd *exec.Cmd, addr string) {
+	t.Helper()
+	cmd = exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), serveVariable+"=1")
 	// The kernel continues the stopped processes of an orphaned process group.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
@@ -159,15 +159,23 @@
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = cmd.Process.Kill(); _ = cmd.Wait() }()
-	addr, err := bufio.NewReader(out).ReadString('\n')
+	t.Cleanup(func() { _ = cmd.Process.Kill(); _ = cmd.Wait() })
+	line, err := bufio.NewReader(out).ReadString('\n')
 	if err != nil {
 		t.Fatal(err)
 	}
+	return cmd, strings.TrimSpace(line)
+}
+
+// stallWhileClosing stops a process, stalls it while it closes its idle connections, and sends a
+// request on each that is open then. It returns how many of them got no answer.
+func stallWhileClosing(t *testing.T) (lost, open int) {
+	cmd, addr := startServing(t)
 	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 	conns, readers := make([]net.Conn, sweepConns), make([]*bufio.Reader, sweepConns)
+	var err error
 	for i := range conns {
-		if conns[i], err = net.Dial("tcp", strings.TrimSpace(addr)); err != nil {
+		if conns[i], err = net.Dial("tcp", addr); err != nil {
 			t.Fatal(err)
 		}
 		defer func() { _ = conns[i].Close() }()
