--- a/internal/httpserve/shutdown_test.go
+++ b/internal/httpserve/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -24,7 +25,7 @@
 		client, server := acceptPair(t)
 		conns := NewConnections()
 		conns.SetState(server, state)
-		conns.expireIdle()
+		conns.expireIdle(true)
 		if _, err := server.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
 			t.Fatalf("%v: read of an idle connection in the stop: %v, want a timeout", state, err)
 		}
@@ -65,7 +66,7 @@
 	for !readable(server) {
 		time.Sleep(time.Millisecond)
 	}
-	conns.expireIdle()
+	conns.expireIdle(true)
 	buf := make([]byte, 8)
 	if n, err := server.Read(buf); err != nil || string(buf[:n]) != "GET" {
 		t.Errorf("read of a request that arrived before the end of the reads: %q, %v", buf[:n], err)
@@ -80,14 +81,47 @@
 	_, server := acceptPair(t)
 	conns := NewConnections()
 	conns.SetState(server, http.StateIdle)
-	conns.expireIdle()
+	conns.expireIdle(true)
 	_ = server.SetReadDeadline(time.Now().Add(time.Minute))
-	conns.expireIdle()
+	conns.expireIdle(true)
 	if _, err := server.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Errorf("read of an idle connection in the stop: %v, want a timeout", err)
 	}
 }
 
+// endlessContext is a context whose deadline is near but does not come.
+type endlessContext struct{ context.Context }
+
+func (endlessContext) Deadline() (time.Time, bool) { return time.Now().Add(lastPhaseTime / 4), true }
+
+// Guards against a stop that keeps idle connections open to its end because others carry requests,
+// and then closes them although requests have arrived (issue 56).
+func TestStopClosesIdleConnectionsBesideARequest(t *testing.T) {
+	conns := NewConnections()
+	_, active := acceptPair(t)
+	conns.SetState(active, http.StateActive)
+	client, idle := acceptPair(t)
+	conns.SetState(idle, http.StateIdle)
+	read := make(chan error, 1)
+	go func() {
+		_, err := idle.Read(make([]byte, 1))
+		read <- err
+	}()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan int, 1)
+	go func() { done <- conns.Close(endlessContext{ctx}) }()
+	_ = client.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := client.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("read of the client of an idle connection: %v, want its end", err)
+	}
+	cancel()
+	if busy := <-done; busy == 0 {
+		t.Error("the connection with a request has not been open until the end of the stop")
+	}
+	_ = idle.SetReadDeadline(pastDeadline)
+	<-read
+}
+
 // Stalls of a process that closes its idle connections.
 const (
 	sweepStalls   = 12
@@ -111,10 +145,10 @@
 	t.Logf("%d stalls lost %d of %d requests on connections that were open", sweepStalls, lost, open)
 }
 
-// stallWhileClosing stops a process, stalls it while it closes its idle connections, and sends a
-// request on each that is open then. It returns how many of them got no answer.
-func stallWhileClosing(t *testing.T) (lost, open int) {
-	cmd := exec.Command(os.Args[0])
+// startServing starts a process that serves until SIGTERM, and returns its address.
+func startServing(t *testing.T) (cmd *exec.Cmd, addr string) {
+	t.Helper()
+	cmd = exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), serveVariable+"=1")
 	// The kernel continues the stopped processes of an orphaned process group.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
@@ -125,15 +159,23 @@
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = cmd.Process.Kill(); _ = cmd.Wait() }()
-	addr, err := bufio.NewReader(out).ReadString('\n')
+	t.Cleanup(func() { _ = cmd.Process.Kill(); _ = cmd.Wait() })
+	line, err := bufio.NewReader(out).ReadString('\n')
 	if err != nil {
 		t.Fatal(err)
 	}
+	return cmd, strings.TrimSpace(line)
+}
+
+// stallWhileClosing stops a process, stalls it while it closes its idle connections, and sends a
+// request on each that is open then. It returns how many of them got no answer.
+func stallWhileClosing(t *testing.T) (lost, open int) {
+	cmd, addr := startServing(t)
 	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 	conns, readers := make([]net.Conn, sweepConns), make([]*bufio.Reader, sweepConns)
+	var err error
 	for i := range conns {
-		if conns[i], err = net.Dial("tcp", strings.TrimSpace(addr)); err != nil {
+		if conns[i], err = net.Dial("tcp", addr); err != nil {
 			t.Fatal(err)
 		}
 		defer func() { _ = conns[i].Close() }()
