gateway: the context of a stop's end states when it ends

The merge of the answers at the end of a stop and of its last phase for connections: the context had no deadline any more, so that the last phase never began, and TestStopDeliversFinishedAnswersToSlowClients failed (unexpected EOF for a call and a stream). It passes now.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -264,7 +264,7 @@
 	g.stopping.Store(true)
 	telemetry.Info(g.opts.Logger, "stopping", "requests", g.metrics.activeRequests.Load())
 	time.Sleep(time.Until(times.accept))
-	busy := frontend.shutdown(g.stopPhase.stop)
+	busy := frontend.shutdown(plannedEnd{g.stopPhase.stop, times.stop})
 	telemetry.Info(g.opts.Logger, "stop", "took_ms", time.Since(startedAt).Milliseconds(), "cut", g.metrics.activeRequests.Load(), "busy_connections", busy)
 }
 
--- a/gateway/stopphase.go
+++ b/gateway/stopphase.go
@@ -91,6 +91,16 @@
 	return result.New(result.TargetLeaving, result.RanNo, "this process stops").RetryAfter(stoppingRetryAfter)
 }
 
+// plannedEnd is the context of the end of a stop. It states when the stop is to end, and ends
+// later if the answers at its end were due late.
+type plannedEnd struct {
+	context.Context
+	at time.Time
+}
+
+// Deadline implements context.Context.
+func (e plannedEnd) Deadline() (time.Time, bool) { return e.at, true }
+
 // requestContext returns a context for a request that ends with the cause errStopping when
 // the requests in progress must be answered. The caller must call cancel.
 func (p *stopPhase) requestContext(ctx context.Context) (_ context.Context, cancel context.CancelFunc) {
