httpserve: the last phase of a short stop is an eighth of it

What callers saw: nothing landed.

Fix: the last phase is an eighth of the time that Connections.Close may take, 1 s at most: 0.63 s in a gateway whose stop takes 7.6 s, more than the 0.5 s for the rest of a refused upload and than the stalls of 0.3 s of the tests.

--- a/internal/httpserve/connections.go
+++ b/internal/httpserve/connections.go
@@ -124,7 +124,9 @@
 	// the system as far as it takes them, and idle connections are closed also while others
 	// carry requests: the end of the stop would close a connection whose request has arrived.
 	// It exceeds maxDiscardTime of gateways, so that a request that arrives before is answered.
-	lastPhaseTime = time.Second
+	// In a short stop it is lastPhaseFraction of the limit.
+	lastPhaseTime     = time.Second
+	lastPhaseFraction = 1.0 / 8
 )
 
 // growSendBuffers enlarges the send buffers of the connections that carry a request. A response
@@ -149,7 +151,7 @@
 	startedAt := time.Now()
 	busyAt := startedAt
 	endsAt, limited := ctx.Deadline()
-	lastPhase := min(lastPhaseTime, endsAt.Sub(startedAt)/2)
+	lastPhase := min(lastPhaseTime, time.Duration(lastPhaseFraction*float64(endsAt.Sub(startedAt))))
 	ticker := time.NewTicker(connPollPeriod)
 	defer ticker.Stop()
 	for {
