--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -138,11 +138,11 @@
 // client abandons a stream after a pause of two seconds, which also includes the prefill.
 const maxRerunWait = 300 * time.Millisecond
 
-// placeSoon is like placeStream. Once the client has received events, it doesn't hold the
+// placeSoon is like placeInStop. Once the client has received events, it doesn't hold the
 // stream back for longer than maxRerunWait.
 func (s *streamRequest) placeSoon(ctx context.Context) *registry.Target {
 	if s.deliveredEvents == 0 {
-		return s.g.placeStream(ctx, s.req)
+		return s.placeInStop(ctx)
 	}
 	waitCtx, cancel := context.WithTimeout(ctx, maxRerunWait)
 	defer cancel()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -152,10 +152,7 @@
 // runs the request from the start. It returns nil if there is no target, or if the stop of
 // the process leaves too little time.
 func (s *streamRequest) initialSegment(ctx context.Context) *segment {
-	if s.g.stopPhase.dispatchEnded() {
-		return nil
-	}
-	t := s.g.placeStream(ctx, s.req)
+	t := s.placeInStop(ctx)
 	if t == nil {
 		return nil
 	}
@@ -163,6 +160,23 @@
 	return &segment{target: t, backup: s.g.chooseBackupTarget(s.req, t)}
 }
 
+// placeInStop is like placeStream, but returns nil once a stop of the process leaves too little
+// time for the stream, also if it waits then.
+func (s *streamRequest) placeInStop(ctx context.Context) *registry.Target {
+	phase := s.g.stopPhase
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(phase.dispatch, cancel)()
+	if phase.dispatchEnded() {
+		return nil
+	}
+	t := s.g.placeStream(ctx, s.req)
+	if phase.dispatchEnded() {
+		return nil
+	}
+	return t
+}
+
 // nextSegment returns the segment to serve after seg, which ended with segResult
 // but did not end the request, or nil if there is none. The argument n is the
 // number of segments before seg.
