entry: the phases of a stop go by the clock, and each request is answered before its end

Cause: the phases were flags that timers set, looked at only when a request arrived; only unstreamed generations were ended by the stop; refusals took no account of what earlier requests had run.

Now the time in which requests are passed on ends by the clock, and is looked at before each attempt, claim and issued key. Streams that have begun are cut at the limit, without an end of the chunked body; another entry resumes them. Connections are closed only after the limit, so that a process that has been stalled still writes its answers.

--- a/entry/attempts.go
+++ b/entry/attempts.go
@@ -69,12 +69,21 @@
 	return true
 }
 
-// resolve waits for the pending states and returns the combined state of all
+// mayHaveRun reports whether it is not known yet that no attempt has run.
+func (a *attemptTracker) mayHaveRun() bool {
+	return len(a.pending) > 0 || a.ran == result.RanUnknown || a.ran == result.RanYes
+}
+
+// resolve waits for the pending states until ctx ends, and returns the combined state of all
 // attempts. The result is RanNo only if every attempt is known not to have run.
-func (a *attemptTracker) resolve() result.Ran {
+func (a *attemptTracker) resolve(ctx context.Context) result.Ran {
 	for _, pending := range a.pending {
-		outcome := <-pending
-		a.record(outcome.ran)
+		select {
+		case outcome := <-pending:
+			a.record(outcome.ran)
+		case <-ctx.Done():
+			a.record(result.RanUnknown)
+		}
 	}
 	a.pending = nil
 	return a.ran
--- a/entry/bind.go
+++ b/entry/bind.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/quetzalglade/quetzalglade/decision"
 	"github.com/quetzalglade/quetzalglade/membership"
 	"github.com/quetzalglade/quetzalglade/peer"
@@ -132,6 +134,10 @@
 // failure returns the error to report if no target granted a reservation.
 func (s *reservationSearch) failure(ctx context.Context) *result.Error {
 	switch {
+	case isStopping(ctx):
+		return stoppingError()
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return result.New(result.DeadlineExceeded, result.RanNo, "the request's time ran out")
 	case ctx.Err() != nil:
 		return result.New(result.Cancelled, result.RanNo, "the caller left")
 	case s.refusal != nil:
--- a/entry/call.go
+++ b/entry/call.go
@@ -72,19 +72,21 @@
 		QueueMillis: req.service.QueueMillis, TimeoutMillis: req.service.TimeoutMillis, ConfigVersion: req.config.Version,
 	}
 	if c.idempotent {
-		return e.answerBeforeEnd(func() (*peer.Reply, *result.Error) { return c.run(r.Context()) })
+		ctx, cancel := e.stop.requestContext(r.Context(), nil)
+		defer cancel()
+		return answerBefore(e.stop.resolve, func() (*peer.Reply, *result.Error) { return c.run(ctx) })
 	}
 	key := r.Header.Get(caller.HeaderIdempotencyKey)
 	if key == "" {
 		return nil, result.New(result.KeyRequired, result.RanNo, "this call needs an Idempotency-Key")
 	}
 	c.isFirstUse = isFirstUse(r)
-	return e.answerBeforeEnd(func() (*peer.Reply, *result.Error) { return c.runAtMostOnce(r.Context(), key) })
+	return answerBefore(e.stop.answer, func() (*peer.Reply, *result.Error) { return c.runAtMostOnce(r.Context(), key) })
 }
 
-// answerBeforeEnd returns the result of a call, or an error at the end of a stop. The call
-// may have run then: no time is left to find out.
-func (e *Entry) answerBeforeEnd(run func() (*peer.Reply, *result.Error)) (*peer.Reply, *result.Error) {
+// answerBefore returns the result of a call, or an error once until has ended. The call may have
+// run then: no time is left in the stop to find out.
+func answerBefore(until context.Context, run func() (*peer.Reply, *result.Error)) (*peer.Reply, *result.Error) {
 	done, panicked := make(chan callResult, 1), make(chan any, 1)
 	go func() {
 		// The server recovers from a panic of the request's own goroutine only.
@@ -101,7 +103,12 @@
 		return res.reply, res.failure
 	case p := <-panicked:
 		panic(p)
-	case <-e.answerNow.Done():
+	case <-until.Done():
+	}
+	select {
+	case res := <-done:
+		return res.reply, res.failure
+	default:
 		return nil, result.New(result.OutcomeUnknown, result.RanUnknown, "this process stops")
 	}
 }
@@ -136,6 +143,9 @@
 	var tracker attemptTracker
 	var failure *result.Error
 	for range maxAttempts {
+		if c.entry.stop.refuses() && !tracker.mayHaveRun() {
+			return nil, stoppingError()
+		}
 		m, refusal := c.entry.routeWithBinding(ctx, c.request, decision.Work{Workspace: c.workspace.Name, Service: c.service.Name, Priority: c.service.Priority, Short: true, Idempotent: c.idempotent}, tried)
 		if refusal != nil {
 			if failure == nil {
@@ -159,7 +169,7 @@
 		tried[m.VM.Name] = true
 		c.entry.recordRetry(c.request, m, failure)
 	}
-	return nil, failure.WithRan(tracker.resolve())
+	return nil, failure.WithRan(tracker.resolve(c.entry.stop.resolve))
 }
 
 // attempt dispatches the call to one target under the given attempt id.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -100,11 +100,7 @@
 	batcher           *claim.Batcher
 	quarantine        *quarantine.Keeper
 	stopping          atomic.Bool
-	// stopEnding is set once so little of a stop is left that new requests are refused.
-	stopEnding atomic.Bool
-	// answerNow ends when the requests in progress must be answered since the stop ends.
-	answerNow    context.Context
-	endAnswering context.CancelFunc
+	stop              *stopPhase
 	// targetsDiscovered is set once the phases of all targets have been known at the
 	// same time.
 	targetsDiscovered atomic.Bool
@@ -166,7 +162,7 @@
 		quarantine:        quarantine.NewKeeper(opts.Store, opts.Logger, true),
 		router:            decision.NewRouter(opts.Policy, opts.Datacentre, opts.Region),
 	}
-	e.answerNow, e.endAnswering = context.WithCancel(context.Background())
+	e.stop = newStopPhase()
 	e.restores = &restoreWatch{entry: e}
 	e.snapshots = newSnapshotBuilder(e.members, e.recorder, opts.Disabled.SlowDetection)
 	e.limits = newLimits(opts.Disabled)
@@ -220,27 +216,22 @@
 	return nil
 }
 
-// maxServeFraction is the part of DrainLimit in which requests on open connections are
-// served. The rest is left for those in progress.
-const maxServeFraction = 2.0 / 3
-
-// stopAnswerTime is the time before the end of DrainLimit at which the requests in
-// progress are answered, except streams.
-const stopAnswerTime = 150 * time.Millisecond
-
 // Serve runs the entry until ctx ends and then stops it gracefully: the entry
 // reports that it is not ready, accepts requests for BalancerGrace, and finishes
 // answers in progress for up to DrainLimit.
 func (e *Entry) Serve(ctx context.Context) error {
-	coreSupervisor := suture.New("entry", suture.Spec{EventHook: e.logEvent, Timeout: e.opts.DrainLimit})
+	// The connections of answers that are written late, or not read, are closed after the limit.
+	closeAfter := e.opts.DrainLimit + stopAnswerTime(e.opts.DrainLimit)
+	supervisorTimeout := closeAfter + maxStopAnswerTime
+	coreSupervisor := suture.New("entry", suture.Spec{EventHook: e.logEvent, Timeout: supervisorTimeout})
 	coreSupervisor.Add(e.config)
 	coreSupervisor.Add(e.members)
 	coreSupervisor.Add(e.snapshots)
 	coreSupervisor.Add(e.batcher)
 	coreSupervisor.Add(e.quarantine)
 	coreSupervisor.Add(e.restores)
-	httpSupervisor := suture.New("entry callers", suture.Spec{EventHook: e.logEvent, Timeout: e.opts.DrainLimit})
-	server := httpserve.New("entry callers", e.opts.Listener, e.handler(), e.opts.DrainLimit)
+	httpSupervisor := suture.New("entry callers", suture.Spec{EventHook: e.logEvent, Timeout: supervisorTimeout})
+	server := httpserve.New("entry callers", e.opts.Listener, e.handler(), closeAfter)
 	server.SetGuard(e.opts.Guard, bodyFactor, true)
 	httpSupervisor.Add(server)
 	detached := context.WithoutCancel(ctx)
@@ -256,11 +247,8 @@
 	case <-ctx.Done():
 	}
 	e.stopping.Store(true)
+	defer e.stop.begin(time.Now().Add(e.opts.BalancerGrace), e.opts.DrainLimit)()
 	time.Sleep(e.opts.BalancerGrace)
-	ending := time.AfterFunc(time.Duration(maxServeFraction*float64(e.opts.DrainLimit)), func() { e.stopEnding.Store(true) })
-	defer ending.Stop()
-	answering := time.AfterFunc(max(e.opts.DrainLimit-stopAnswerTime, 0), e.endAnswering)
-	defer answering.Stop()
 	stopHTTP()
 	err := <-httpDone
 	stopCore()
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -47,6 +48,8 @@
 	// fingerprint identifies the content for the quarantine.
 	fingerprint string
 	attempts    attemptTracker
+	// begun is set once a stream has had its first token.
+	begun atomic.Bool
 	// seeded is set if the request has a seed, so that the tokens of a replay can
 	// be compared with the delivered ones.
 	seeded bool
@@ -71,29 +74,25 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), c.service.Timeout())
 	defer cancel()
+	begun := &c.begun
 	if !c.completion.Stream {
-		var end context.CancelFunc
-		ctx, end = e.untilStopEnds(ctx)
-		defer end()
+		begun = nil
 	}
+	ctx, end := e.stop.requestContext(ctx, begun)
+	defer end()
 	defer e.recordDuration(req)
 	if failure := c.run(ctx); failure != nil {
-		c.responder.Fail(failure)
 		e.recordRefusal(req, failure)
+		cutBegun(ctx, begun)
+		c.responder.Fail(failure)
 	}
 }
 
-// errStopping is the cause of the end of a request that is answered since the stop ends.
-var errStopping = errors.New("this process stops")
-
-// untilStopEnds returns a context that ends with errStopping when the requests in progress must
-// be answered. The caller must call cancel.
-func (e *Entry) untilStopEnds(ctx context.Context) (_ context.Context, cancel context.CancelFunc) {
-	ctx, cancelCause := context.WithCancelCause(ctx)
-	stop := context.AfterFunc(e.answerNow, func() { cancelCause(errStopping) })
-	return ctx, func() {
-		stop()
-		cancelCause(nil)
+// cutBegun ends a stream that has begun, at the end of a stop, without an end and without an error:
+// its caller resumes it through another entry. begun is nil for other requests.
+func cutBegun(ctx context.Context, begun *atomic.Bool) {
+	if begun != nil && begun.Load() && isStopping(ctx) {
+		panic(http.ErrAbortHandler)
 	}
 }
 
@@ -154,6 +153,9 @@
 func (c *completionRequest) run(ctx context.Context) *result.Error {
 	var failure *result.Error
 	for range maxAttempts {
+		if c.entry.stop.refuses() && !c.attempts.mayHaveRun() {
+			return stoppingError()
+		}
 		m, refusal := c.chooseTarget(ctx)
 		if refusal != nil && failure == nil {
 			return refusal
@@ -176,7 +178,11 @@
 		c.tried[m.VM.Name] = true
 		c.recordRetry(m, latest)
 	}
-	return failure.WithRan(c.attempts.resolve()).WithDelivered(c.responder.Delivered())
+	ran := c.attempts.resolve(c.entry.stop.resolve)
+	if ran == result.RanNo && isStopping(ctx) {
+		return stoppingError()
+	}
+	return failure.WithRan(ran).WithDelivered(c.responder.Delivered())
 }
 
 // failureToReport returns the error that the caller gets if no further attempt
@@ -232,7 +238,7 @@
 	}
 	return attempt, c.entry.relay(ctx, &relay{
 		request: c.request, vm: m.VM.Name, addr: m.VM.Addr, generation: id, responder: c.responder, open: open,
-		replaceable: c.seeded || c.responder.Delivered() == 0,
+		replaceable: c.seeded || c.responder.Delivered() == 0, begun: &c.begun,
 	})
 }
 
@@ -311,8 +317,12 @@
 		return
 	}
 	responder := caller.NewStreamResponder(w, &caller.ResponseMeta{Request: req.id, Generation: id}, offset)
-	failure := e.relay(r.Context(), &relay{request: req, vm: m.VM.Name, addr: m.VM.Addr, generation: id, responder: responder})
+	begun := &atomic.Bool{}
+	ctx, end := e.stop.requestContext(r.Context(), begun)
+	defer end()
+	failure := e.relay(ctx, &relay{request: req, vm: m.VM.Name, addr: m.VM.Addr, generation: id, responder: responder, begun: begun})
 	if failure != nil {
+		cutBegun(ctx, begun)
 		responder.Fail(failure)
 	}
 }
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -55,7 +55,7 @@
 			}
 		}
 	}
-	return nil, last.failure.WithRan(tracker.resolve())
+	return nil, last.failure.WithRan(tracker.resolve(c.entry.stop.resolve))
 }
 
 // startAttempt starts an attempt at a target; its result is sent to results.
--- a/entry/issued.go
+++ b/entry/issued.go
@@ -80,6 +80,12 @@
 	if m == nil {
 		return nil, targetUnavailable()
 	}
+	if c.entry.stop.refuses() && c.isFirstUse {
+		return nil, stoppingError()
+	}
+	if c.entry.stop.refuses() {
+		return nil, stoppingError().WithRan(result.RanUnknown)
+	}
 	msg := c.message
 	msg.ID, msg.Incarnation = "issued-"+digest, key.Incarnation
 	msg.AtMostOnce = &peer.AtMostOnce{
@@ -155,7 +161,7 @@
 // earlier request with the key may have run, so the error reports that as
 // unknown.
 func refusalBeforeLookup(r *http.Request, refusal *result.Error) *result.Error {
-	rejectedEarly := refusal.Code == result.ConfigurationAbsent || refusal.Code == result.WorkspaceLimited
+	rejectedEarly := refusal.Code == result.ConfigurationAbsent || refusal.Code == result.WorkspaceLimited || refusal.Code == result.TargetLeaving
 	if rejectedEarly && r.Header.Get(caller.HeaderIdempotencyKey) != "" && !isFirstUse(r) {
 		return refusal.WithRan(result.RanUnknown)
 	}
--- a/entry/once.go
+++ b/entry/once.go
@@ -85,6 +85,9 @@
 func (cc *claimedCall) run(ctx context.Context) (*peer.Reply, *result.Error) {
 	var previous *claim.Claim
 	for range maxClaimRounds {
+		if cc.entry.stop.refuses() {
+			return cc.resolveWithoutTarget(ctx, previous, stoppingError())
+		}
 		m, refusal := cc.entry.route(cc.request, decision.Work{Workspace: cc.workspace.Name, Service: cc.service.Name, Priority: cc.service.Priority}, cc.tried)
 		if refusal != nil {
 			return cc.resolveWithoutTarget(ctx, previous, refusal)
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -31,6 +32,10 @@
 	replaceable bool
 	// opened is set once a stream of the generation has been opened.
 	opened bool
+	// received is set once tokens have arrived. begun, which the generations of one request share,
+	// is then set too.
+	received bool
+	begun    *atomic.Bool
 }
 
 // errMismatchedFrame is returned for a frame of another generation.
@@ -82,12 +87,12 @@
 	return rl.newFailure(result.EngineLost, message)
 }
 
-// newFailure returns an error with the number of delivered tokens. Delivered tokens
+// newFailure returns an error with the number of delivered tokens. Received tokens
 // prove that the work ran; without them that is unknown.
 func (rl *relay) newFailure(code result.Code, message string) *result.Error {
 	delivered := rl.responder.Delivered()
 	ran := result.RanUnknown
-	if delivered > 0 {
+	if delivered > 0 || rl.received {
 		ran = result.RanYes
 	}
 	return result.New(code, ran, "%s", message).ForGeneration(rl.generation, delivered)
@@ -114,7 +119,7 @@
 		return result.New(result.NoTarget, result.RanNo, "the target does not accept connections").RetryAfter(defaultRetryAfter)
 	case errors.Is(err, errCallerDisconnected):
 		return rl.newFailure(result.Cancelled, "the caller left")
-	case errors.Is(context.Cause(ctx), errStopping):
+	case isStopping(ctx):
 		return rl.newFailure(result.OutcomeUnknown, "this process stops")
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return rl.newFailure(result.DeadlineExceeded, "the request's time ran out")
@@ -183,6 +188,8 @@
 	}
 	var err error
 	if len(f.Tokens) > 0 {
+		rl.received = true
+		rl.begun.Store(true)
 		err = r.Tokens(f.Offset, f.Tokens)
 	} else {
 		err = r.KeepAlive()
--- a/entry/server.go
+++ b/entry/server.go
@@ -20,10 +20,13 @@
 func (e *Entry) handler() http.Handler {
 	mux := http.NewServeMux()
 	handleCaller := func(pattern string, handle http.HandlerFunc) { mux.HandleFunc(pattern, e.refuseLate(handle)) }
+	handleGeneration := func(pattern string, handle http.HandlerFunc) {
+		mux.HandleFunc(pattern, e.refuseLateOfGeneration(handle))
+	}
 	handleCaller("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) { e.handleCompletion(w, r, false) })
 	handleCaller("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) { e.handleCompletion(w, r, true) })
-	handleCaller("GET /v1/generations/{id}", e.handleResume)
-	handleCaller("DELETE /v1/generations/{id}", e.handleCancel)
+	handleGeneration("GET /v1/generations/{id}", e.handleResume)
+	handleGeneration("DELETE /v1/generations/{id}", e.handleCancel)
 	handleCaller("POST /v1/keys", e.handleKeys)
 	handleCaller("/s/{service}/{path...}", e.handleCall)
 	peerMux := http.NewServeMux()
@@ -56,8 +59,19 @@
 // Another entry serves them.
 func (e *Entry) refuseLate(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		if e.stopEnding.Load() {
-			result.Write(w, result.New(result.TargetLeaving, result.RanNo, "this process stops"))
+		if e.stop.refuses() {
+			result.Write(w, refusalBeforeLookup(r, stoppingError()))
+			return
+		}
+		next(w, r)
+	}
+}
+
+// refuseLateOfGeneration is like refuseLate, for requests about a generation, which has run.
+func (e *Entry) refuseLateOfGeneration(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if e.stop.refuses() {
+			result.Write(w, stoppingError().WithRan(result.RanUnknown))
 			return
 		}
 		next(w, r)
