--- a/agent/agent.go
+++ b/agent/agent.go
@@ -101,6 +101,9 @@
 	// request that started it has ended.
 	baseCtx context.Context
 	cancel  context.CancelFunc
+	// answers ends when calls in progress must be answered since a stop ends.
+	answers    context.Context
+	endAnswers context.CancelFunc
 }
 
 // Sizes, defaults of Options and periods of an agent.
@@ -112,7 +115,8 @@
 	incarnationBytes  = 6
 	defaultDrainGrace = 3 * time.Second
 	defaultDrainLimit = 30 * time.Minute
-	drainPollInterval = 20 * time.Millisecond
+	// lastWriteTime limits the time after the drain in which responses are written.
+	lastWriteTime = writeTimeout
 )
 
 // New returns an agent; Serve runs it.
@@ -137,6 +141,7 @@
 		quarantine:  quarantine.NewKeeper(opts.Store, opts.Logger, false),
 	}
 	a.baseCtx, a.cancel = context.WithCancel(context.Background())
+	a.answers, a.endAnswers = context.WithCancel(context.Background())
 	client := httpclient.New(httpclient.Options{IdlePerHost: opts.Limits.Slots, TLS: opts.ClientTLS})
 	if opts.EngineURL != "" {
 		a.engine = target.NewEngine(opts.EngineURL, client)
@@ -218,7 +223,7 @@
 	if a.opts.Store != nil {
 		supervisor.Add(a.quarantine)
 	}
-	server := httpserve.New("agent peers", a.opts.Listener, a.handler(), a.opts.DrainLimit)
+	server := httpserve.New("agent peers", a.opts.Listener, a.handler(), min(a.opts.DrainLimit, lastWriteTime))
 	server.SetGuard(a.opts.Guard, messageFactor, true)
 	supervisor.Add(server)
 	supervisorCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -229,9 +234,15 @@
 		return err
 	case <-ctx.Done():
 	}
-	a.drain()
+	end := a.drain()
 	stop()
-	return ignoreCanceled(<-done)
+	select {
+	case err := <-done:
+		return ignoreCanceled(err)
+	case <-time.After(time.Until(end)):
+		// Responses that nothing reads.
+		return nil
+	}
 }
 
 // ignoreCanceled returns nil for context.Canceled, which an orderly stop returns.
@@ -242,29 +253,6 @@
 	return err
 }
 
-// drain refuses new work and waits until accepted work has ended and its results
-// are delivered, or until DrainLimit has passed. Below that limit it lasts at least
-// DrainGrace, so that every entry learns about the drain before the agent refuses
-// connections.
-func (a *Agent) drain() {
-	a.setDraining(true, "stop")
-	grace := time.After(a.opts.DrainGrace)
-	limit := time.After(a.opts.DrainLimit)
-	poll := time.NewTicker(drainPollInterval)
-	defer poll.Stop()
-	for isGraceOver := false; !isGraceOver || !a.isIdle(); {
-		select {
-		case <-grace:
-			isGraceOver = true
-		case <-limit:
-			telemetry.Warn(a.opts.Logger, "drain limit reached with work in progress")
-			return
-		case <-poll.C:
-		}
-	}
-	a.inFlight.Wait()
-}
-
 // isIdle reports whether all accepted work has ended and every generation in the
 // table has been delivered to its end. An ended generation that was not delivered
 // keeps the agent busy until its grace period is over and it leaves the table.
@@ -275,7 +263,7 @@
 }
 
 func (a *Agent) setDraining(draining bool, reason string) {
-	a.control.do(func(s *state) { s.draining = draining })
+	a.control.do(func(s *state) { s.draining = draining || s.stopping })
 	choice := "accept new work"
 	if draining {
 		choice = "refuse new work"
--- a/agent/atmostonce.go
+++ b/agent/atmostonce.go
@@ -212,13 +212,16 @@
 	}
 	select {
 	case <-c.done:
-		out := *a.atMostOnce.replyTo(c)
-		out.ID = call.ID
-		load := a.State().Load
-		out.Load = &load
-		writeReply(w, &out)
+	case <-a.answers.Done():
 	case <-r.Context().Done():
+		return
+	}
+	out := outcomeAtEnd(call.ID)
+	if reply := a.atMostOnce.replyTo(c); reply != nil {
+		*out = *reply
+		out.ID = call.ID
 	}
+	a.writeOutcome(w, out)
 }
 
 // replyTo returns the reply to a call, or nil before the call's end.
@@ -258,14 +261,20 @@
 	queued := *call
 	queued.ID = a.atMostOnce.jobID(call.ID)
 	done := make(chan *peer.Reply, 1)
-	if refusal := a.submit(a.newCallJob(&queued, done)); refusal != nil {
+	j := a.newCallJob(&queued, done)
+	j.refuse = func(e *result.Error) {
+		a.atMostOnce.finish(call.ID, &peer.Reply{ID: call.ID, Error: e})
+		close(done)
+	}
+	if refusal := a.submit(j); refusal != nil {
 		a.atMostOnce.finish(call.ID, &peer.Reply{ID: call.ID, Error: refusal})
 		return
 	}
 	go func() {
-		out := <-done
-		out.ID = call.ID
-		a.atMostOnce.finish(call.ID, out)
+		if out, isRun := <-done; isRun {
+			out.ID = call.ID
+			a.atMostOnce.finish(call.ID, out)
+		}
 	}()
 }
 
@@ -299,6 +308,7 @@
 	}
 	select {
 	case <-c.done:
+	case <-a.answers.Done():
 	case <-ctx.Done():
 	}
 	if r := a.atMostOnce.replyTo(c); r != nil {
--- a/agent/call.go
+++ b/agent/call.go
@@ -38,9 +38,14 @@
 	}
 	select {
 	case out := <-done:
-		load := a.State().Load
-		out.Load = &load
-		writeReply(w, out)
+		a.writeOutcome(w, out)
+	case <-a.answers.Done():
+		out := outcomeAtEnd(call.ID)
+		select {
+		case out = <-done:
+		default:
+		}
+		a.writeOutcome(w, out)
 	case <-r.Context().Done():
 		// The sender disconnected. A call that has not started is withdrawn, a
 		// started call runs to its end.
@@ -48,6 +53,13 @@
 	}
 }
 
+// writeOutcome sends the reply to a call.
+func (a *Agent) writeOutcome(w http.ResponseWriter, out *peer.Reply) {
+	load := a.State().Load
+	out.Load = &load
+	writeReply(w, out)
+}
+
 func (a *Agent) newCallJob(call *peer.Call, done chan<- *peer.Reply) *job {
 	now := time.Now()
 	return &job{
--- a/agent/control.go
+++ b/agent/control.go
@@ -18,6 +18,8 @@
 	jobs     map[string]*job
 	retired  map[string]retiredJob
 	draining bool
+	// stopping is set once the process stops; it then drains until its end.
+	stopping bool
 	ready    bool
 	models   []string
 	// report is the engine's latest load report. It lags behind the engine.
--- a/agent/generationtable.go
+++ b/agent/generationtable.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -48,6 +50,13 @@
 	return nil
 }
 
+// all returns all generations.
+func (t *generationTable) all() []*generation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Collect(maps.Values(t.byID))
+}
+
 // hasUndelivered reports whether any generation has not been delivered to its
 // end.
 func (t *generationTable) hasUndelivered() bool {
