entry: answers that a stall holds up at the end of a stop are still written

Cause: the timer that answers requests and those that close their connections (the server's drain timeout, the supervisor's time-out of the same length, which ended the process as "failed to terminate in a timely manner") came at the same moment. The connections are now closed 1 s after the limit. In a stop without a stall nothing is in progress then: streams are cut at the limit.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -220,8 +220,9 @@
 // reports that it is not ready, accepts requests for BalancerGrace, and finishes
 // answers in progress for up to DrainLimit.
 func (e *Entry) Serve(ctx context.Context) error {
-	// The connections of answers that are written late, or not read, are closed after the limit.
-	closeAfter := e.opts.DrainLimit + stopAnswerTime(e.opts.DrainLimit)
+	// Answers that are late, since the process got no processor time, or that nothing reads, still
+	// have some time after the limit.
+	closeAfter := e.opts.DrainLimit + maxStopAnswerTime
 	supervisorTimeout := closeAfter + maxStopAnswerTime
 	coreSupervisor := suture.New("entry", suture.Spec{EventHook: e.logEvent, Timeout: supervisorTimeout})
 	coreSupervisor.Add(e.config)
