--- a/entry/generate.go
+++ b/entry/generate.go
@@ -301,7 +301,7 @@
 func (e *Entry) handleResume(w http.ResponseWriter, r *http.Request) {
 	req, refusal := e.authenticate(r)
 	if refusal != nil {
-		result.Write(w, refusal)
+		result.Write(w, refusalOfGeneration(refusal))
 		return
 	}
 	w.Header().Set(caller.HeaderRequestID, req.id)
--- a/entry/server.go
+++ b/entry/server.go
@@ -67,11 +67,20 @@
 	}
 }
 
-// refuseLateOfGeneration is like refuseLate, for requests about a generation, which has run.
+// refusalOfGeneration returns the error for a request about a generation that this process refuses
+// in its present state. The generation may have run.
+func refusalOfGeneration(refusal *result.Error) *result.Error {
+	if refusal.Code == result.ConfigurationAbsent || refusal.Code == result.TargetLeaving {
+		return refusal.WithRan(result.RanUnknown)
+	}
+	return refusal
+}
+
+// refuseLateOfGeneration is like refuseLate, for requests about a generation.
 func (e *Entry) refuseLateOfGeneration(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if e.stop.refuses() {
-			result.Write(w, stoppingError().WithRan(result.RanUnknown))
+			result.Write(w, refusalOfGeneration(stoppingError()))
 			return
 		}
 		next(w, r)
@@ -172,7 +181,7 @@
 func (e *Entry) handleCancel(w http.ResponseWriter, r *http.Request) {
 	req, refusal := e.authenticate(r)
 	if refusal != nil {
-		result.Write(w, refusal)
+		result.Write(w, refusalOfGeneration(refusal))
 		return
 	}
 	w.Header().Set(caller.HeaderRequestID, req.id)
