--- a/internal/faulttest/stopexits_test.go
+++ b/internal/faulttest/stopexits_test.go
@@ -10,6 +10,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/quetzalglade/quetzalglade/internal/standin"
+	"github.com/quetzalglade/quetzalglade/peer"
 	"github.com/quetzalglade/quetzalglade/result"
 )
 
@@ -124,3 +126,52 @@
 		}
 	})
 }
+
+// Guards against calls that an agent cuts off without an answer since it gets no processor time at the
+// end of its stop.
+func TestStallAtTheEndOfAnAgentsStop(t *testing.T) {
+	addr := freeAddr(t)
+	agent := startDaemon(t, "quetzalglade-agent", "agent-1", addr, fmt.Sprintf(
+		"[process]\nvm = a\nlisten = %s\nkeys = %s\ndrain_grace = 100ms\ndrain_limit = %s\n[target]\nplain = http://%s\nrole = r\nslots = 64\n[platform]\nstore = http://%s\n",
+		addr, fleetKey, stalledEndLimit, serve(t, standin.NewPlain(3*stalledEndLimit).Handler()), freeAddr(t)))
+	tg := &target{agent: agent}
+	ctx, cancel := context.WithTimeout(context.Background(), responseTimeout)
+	defer cancel()
+	eventually(t, startTimeout, "the agent is ready", agent.ready)
+	client := newPeerClient()
+	state, err := client.State(ctx, tg.agent.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	answers := make(chan error, stalledEndCalls)
+	for i := range stalledEndCalls {
+		go func() {
+			reply, err := client.Call(ctx, tg.agent.addr, &peer.Call{
+				ID: fmt.Sprintf("call-%d", i), Incarnation: state.Incarnation, Workspace: "w1", Service: "booking", Method: http.MethodGet,
+				Path: fmt.Sprintf("/stall/%d", i), QueueMillis: responseTimeout.Milliseconds(), TimeoutMillis: responseTimeout.Milliseconds(), Idempotent: true,
+			})
+			if err == nil && reply.Error != nil && reply.Error.Ran != result.RanUnknown {
+				err = fmt.Errorf("reply %+v", reply.Error)
+			}
+			answers <- err
+		}()
+	}
+	eventually(t, startTimeout, "the calls are running", func() bool { return runningRequests(tg) == stalledEndCalls })
+	tg.agent.stop()
+	time.Sleep(stalledEndAt)
+	tg.agent.pause()
+	time.Sleep(stalledEndTime)
+	tg.agent.resume()
+	var lost []string
+	for range stalledEndCalls {
+		if err := <-answers; err != nil {
+			lost = append(lost, err.Error())
+		}
+	}
+	exitCode, hasExited := tg.agent.exited(responseTimeout)
+	Convey("Each call has an answer that does not say that it has not run, and the process ends", t, func() {
+		So(lost, ShouldBeEmpty)
+		So(hasExited, ShouldBeTrue)
+		So(exitCode, ShouldEqual, 0)
+	})
+}
