--- a/entry/stopexits_test.go
+++ b/entry/stopexits_test.go
@@ -520,3 +520,39 @@
 	}
 	return chunk.Choices[0].Text
 }
+
+// Guards against a request that a stop loses since its connection was opened, or its TLS handshake begun,
+// before the stop, and the rest comes during it.
+func TestStopServesOpenedConnections(t *testing.T) {
+	withAndWithoutTLS(t, func(t *testing.T, isTLS bool) {
+		f := startStopFleet(t, stopFleetOptions{tls: isTLS, drainLimit: 3 * time.Second})
+		idle, err := net.Dial("tcp", f.entries[0].addr)
+		must(t, err)
+		defer func() { _ = idle.Close() }()
+		partly, partlyReader := f.openUpload(0, "POST /v1/completions", completionBody("guide", "partly <<len=5>>", ""))
+		time.Sleep(uploadTime)
+		f.entries[0].stop()
+		time.Sleep(uploadTime)
+		conn := idle
+		if isTLS {
+			config := f.tlsConfig.Clone()
+			config.ServerName = "127.0.0.1"
+			conn = tls.Client(idle, config)
+		}
+		body := completionBody("guide", "idle <<len=5>>", "")
+		_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", w1Key, len(body), body)
+		must(t, err)
+		_, err = io.WriteString(partly, "}")
+		must(t, err)
+		idleResp, idleErr := http.ReadResponse(bufio.NewReader(conn), nil)
+		partlyResp, partlyErr := http.ReadResponse(partlyReader, nil)
+		answers := []answer{readAnswer(idleResp, idleErr), readAnswer(partlyResp, partlyErr)}
+		convey.Convey("Both requests are served", t, func() {
+			for _, a := range answers {
+				convey.So(a.err, convey.ShouldBeNil)
+				convey.So(a.fail, convey.ShouldBeNil)
+				convey.So(a.body, convey.ShouldContainSubstring, `"finish_reason"`)
+			}
+		})
+	})
+}
