gateway: the context of a stop has a deadline

The end of a stop had become a context without one; its deadline tells the connections' wait when the stop is almost over.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -264,7 +264,9 @@
 	g.stopping.Store(true)
 	telemetry.Info(g.opts.Logger, "stopping", "requests", g.metrics.activeRequests.Load())
 	time.Sleep(time.Until(times.accept))
-	busy := frontend.shutdown(g.stopPhase.stop)
+	ctx, cancel := context.WithDeadline(g.stopPhase.stop, times.stop.Add(minAnswerTime))
+	defer cancel()
+	busy := frontend.shutdown(ctx)
 	telemetry.Info(g.opts.Logger, "stop", "took_ms", time.Since(startedAt).Milliseconds(), "cut", g.metrics.activeRequests.Load(), "busy_connections", busy)
 }
 
