httpserve: send buffers grow in the second half of a stop

Fix: they grow from the middle of the time that Connections.Close may take, before the requests in progress are answered.

--- a/internal/httpserve/connections.go
+++ b/internal/httpserve/connections.go
@@ -120,9 +120,9 @@
 	// quietPeriod is how long no connection may carry a request before idle ones are closed.
 	// A connection counts as idle until the header of its next request has been read.
 	quietPeriod = 50 * time.Millisecond
-	// lastPhaseTime is the time before the end of a stop from which on responses are handed to
-	// the system as far as it takes them, and idle connections are closed also while others
-	// carry requests: the end of the stop would close a connection whose request has arrived.
+	// lastPhaseTime is the time before the end of a stop from which on idle connections are
+	// closed also while others carry requests: the end of the stop would close a connection
+	// whose request has arrived.
 	// It exceeds maxDiscardTime of gateways, so that a request that arrives before is answered.
 	// In a short stop it is lastPhaseFraction of the limit.
 	lastPhaseTime     = time.Second
@@ -162,7 +162,7 @@
 		}
 		isQuiet := now.Sub(busyAt) >= quietPeriod
 		isLast := limited && endsAt.Sub(now) <= lastPhase
-		if isLast {
+		if limited && endsAt.Sub(now) <= endsAt.Sub(startedAt)/2 {
 			c.growSendBuffers()
 		}
 		if (isQuiet || isLast) && c.expireIdle(isQuiet || endsAt.Sub(now) <= lastPhase/2) == 0 {
