--- a/internal/soak/idle_test.go
+++ b/internal/soak/idle_test.go
@@ -102,7 +102,7 @@
 }
 
 // closedByPeer reports whether the gateway has closed the connection.
-func closedByPeer(t testing.TB, c *client) bool {
+func closedByPeer(t *testing.T, c *client) bool {
 	raw, err := c.conn.(syscall.Conn).SyscallConn()
 	if err != nil {
 		t.Fatal(err)
