--- a/entry/server.go
+++ b/entry/server.go
@@ -191,10 +191,15 @@
 		result.Write(w, refusal)
 		return
 	}
-	if err := e.peerClient.Cancel(r.Context(), m.VM.Addr, id, req.workspace.Name); err != nil {
+	ctx, end := e.stop.requestContext(r.Context(), nil)
+	defer end()
+	if err := e.peerClient.Cancel(ctx, m.VM.Addr, id, req.workspace.Name); err != nil {
 		failure := result.From(err)
-		if failure.Code == result.UnknownGeneration {
+		switch {
+		case failure.Code == result.UnknownGeneration:
 			failure = unknownGeneration()
+		case failure.Code == result.Internal && isStopping(ctx):
+			failure = result.New(result.OutcomeUnknown, result.RanUnknown, "this process stops")
 		}
 		result.Write(w, failure)
 		return
--- a/entry/stopexits_test.go
+++ b/entry/stopexits_test.go
@@ -59,6 +59,8 @@
 	agents map[string]string
 	// calls is the number of calls that the plain service has received.
 	calls atomic.Int64
+	// asked is the number of requests about generations that an agent does not respond to.
+	asked atomic.Int64
 	// released is closed at the end of the test.
 	released chan struct{}
 }
@@ -556,3 +558,43 @@
 		})
 	})
 }
+
+// Guards against requests about a generation that are cut off without an answer at the end of a stop,
+// since the agent does not respond.
+func TestStopAnswersRequestsAboutGenerations(t *testing.T) {
+	silent := func(f *stopFleet, agentURL string) http.Handler {
+		u, err := url.Parse(agentURL)
+		must(t, err)
+		proxy := httputil.NewSingleHostReverseProxy(u)
+		proxy.FlushInterval = -1
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if strings.HasPrefix(r.URL.Path, peer.PathGenerations) {
+				f.asked.Add(1)
+				<-f.released
+				return
+			}
+			proxy.ServeHTTP(w, r)
+		})
+	}
+	f := startStopFleet(t, stopFleetOptions{drainLimit: shortDrainLimit, behind: silent})
+	ctx, cancel := context.WithTimeout(context.Background(), stopTestTimeout)
+	defer cancel()
+	resp, err := f.send(ctx, 1, http.MethodPost, "/v1/completions", completionBody("guide", "long <<len=5000>>", `,"stream":true`))
+	must(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	path := "/v1/generations/" + resp.Header.Get(caller.HeaderGenerationID)
+	resumed, cancelled := f.ask(ctx, 0, http.MethodGet, path, ""), f.ask(ctx, 0, http.MethodDelete, path, "")
+	for f.asked.Load() < 2 && ctx.Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	f.entries[0].stop()
+	answers := []answer{<-resumed, <-cancelled}
+	convey.Convey("They are answered as requests whose outcome is unknown", t, func() {
+		for _, a := range answers {
+			convey.So(a.err, convey.ShouldBeNil)
+			convey.So(a.fail, convey.ShouldNotBeNil)
+			convey.So(a.fail.Code, convey.ShouldEqual, result.OutcomeUnknown)
+			convey.So(a.fail.Ran, convey.ShouldEqual, result.RanUnknown)
+		}
+	})
+}
