--- a/entry/stopexits_test.go
+++ b/entry/stopexits_test.go
@@ -598,3 +598,34 @@
 		}
 	})
 }
+
+// Guards against calls that are cut off without an answer, or denied, at the end of a stop.
+func TestStopAnswersCalls(t *testing.T) {
+	withAndWithoutTLS(t, func(t *testing.T, isTLS bool) {
+		f := startStopFleet(t, stopFleetOptions{tls: isTLS, drainLimit: shortDrainLimit})
+		ctx, cancel := context.WithTimeout(context.Background(), stopTestTimeout)
+		defer cancel()
+		running := f.ask(ctx, 0, http.MethodPost, "/s/booking/a", "{}", caller.HeaderIdempotencyKey, "a")
+		f.awaitLoad(ctx, "booking-1", 1, 0)
+		queued := f.ask(ctx, 0, http.MethodGet, "/s/booking/b", "")
+		f.awaitLoad(ctx, "booking-1", 1, 1)
+		queuedOnce := f.ask(ctx, 0, http.MethodPost, "/s/booking/c", "{}", caller.HeaderIdempotencyKey, "c")
+		f.awaitLoad(ctx, "booking-1", 1, 2)
+		f.entries[0].stop()
+		runningAnswer, queuedAnswer, onceAnswer := <-running, <-queued, <-queuedOnce
+		convey.Convey("What has run, or may run, is not denied; what was withdrawn has not run", t, func() {
+			for _, a := range []answer{runningAnswer, onceAnswer} {
+				convey.So(a.err, convey.ShouldBeNil)
+				convey.So(a.fail, convey.ShouldNotBeNil)
+				convey.So(a.fail.Code, convey.ShouldEqual, result.OutcomeUnknown)
+				convey.So(a.fail.Ran, convey.ShouldEqual, result.RanUnknown)
+			}
+			convey.So(queuedAnswer.err, convey.ShouldBeNil)
+			convey.So(queuedAnswer.fail, convey.ShouldNotBeNil)
+			convey.So(queuedAnswer.fail.Ran, convey.ShouldNotEqual, result.RanYes)
+			if queuedAnswer.fail.Ran == result.RanNo {
+				convey.So(f.calls.Load(), convey.ShouldEqual, 1)
+			}
+		})
+	})
+}
