--- a/internal/soak/stopcross_helpers_test.go
+++ b/internal/soak/stopcross_helpers_test.go
@@ -27,6 +27,7 @@
 	latestHeldTime   = 12 * time.Second
 	crossWorkers     = 10
 	crossConns       = 1000
+	maxCrossBody     = 4 << 20
 	crossDeadline    = 30 * time.Second
 	minStreamTime    = 3 * time.Second
 	maxStreamTime    = 12 * time.Second
@@ -42,25 +43,28 @@
 	return low + time.Duration(rand.Int64N(int64(high-low)))
 }
 
+// configureCross adds the routes and services of the requests that cross a stop.
+func configureCross(config object) {
+	routes := config["routes"].([]object)
+	services := config["services"].([]object)
+	for _, name := range []string{slowService, heldService} {
+		routes = append(routes, object{
+			"name": name, "hostname": hostname, "prefix": "/" + name + "/", "route_type": "non_idempotent", "timeout_ms": crossDeadline.Milliseconds(),
+			"target_latency_ms": 400, "priority": 1, "service": name, "max_attempts": 1, "gap_aim_ms": 180,
+		})
+		services = append(services, object{"name": name})
+	}
+	for _, service := range services {
+		service["max_connections"] = crossConns
+	}
+	config["routes"], config["services"] = routes, services
+}
+
 // newCrossFleet returns a fleet without gateways whose workers take as long as the requests
 // that cross a stop need.
 func newCrossFleet(t *testing.T, seed uint64) *fleet {
 	f := newFleet(t, seed, 0)
-	f.configure(func(config object) {
-		routes := config["routes"].([]object)
-		services := config["services"].([]object)
-		for _, name := range []string{slowService, heldService} {
-			routes = append(routes, object{
-				"name": name, "hostname": hostname, "prefix": "/" + name + "/", "route_type": "non_idempotent", "timeout_ms": crossDeadline.Milliseconds(),
-				"target_latency_ms": 400, "priority": 1, "service": name, "max_attempts": 1, "gap_aim_ms": 180,
-			})
-			services = append(services, object{"name": name})
-		}
-		for _, service := range services {
-			service["max_connections"] = crossConns
-		}
-		config["routes"], config["services"] = routes, services
-	})
+	f.configure(configureCross)
 	for range crossWorkers {
 		for _, service := range []string{slowService, heldService, streamService} {
 			f.addWorker(service)
@@ -94,6 +98,9 @@
 // uploadPieces is the number of pieces of a body whose upload takes time.
 const uploadPieces = 8
 
+// crossBody is the longest body, of maxCrossBody bytes; shorter ones are parts of it.
+var crossBody = strings.Repeat("x", maxCrossBody)
+
 // compose returns the head and the body of the request.
 func (r crossRequest) compose(id string) (head, body string) {
 	method := http.MethodPost
@@ -108,7 +115,7 @@
 	if r.kind == idempotentCall {
 		return b.String() + "\r\n", ""
 	}
-	body = strings.Repeat("x", r.bytes)
+	body = crossBody[:r.bytes]
 	b.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n")
 	return b.String(), body
 }
@@ -239,6 +246,21 @@
 	}
 }
 
+// watchMemory returns the largest resident memory of the gateway's processes until done is
+// closed, in MiB.
+func (g *gateway) watchMemory(done <-chan struct{}) (peak int) {
+	for {
+		if mb, err := g.peakMemoryMB(); err == nil {
+			peak = max(peak, mb)
+		}
+		select {
+		case <-done:
+			return peak
+		case <-time.After(dutyPeriod):
+		}
+	}
+}
+
 // crossTally counts what became of the requests of one run.
 type crossTally struct {
 	mu        sync.Mutex
--- a/internal/soak/stopcross_test.go
+++ b/internal/soak/stopcross_test.go
@@ -13,9 +13,10 @@
 
 // Flags of TestRequestsCrossStop.
 var (
-	crossShapes   = flag.String("soak.cross", "streams,kept,uploads,held,hangup,output", "shapes of the requests that cross a stop")
-	crossShares   = flag.String("soak.share", "100ms,30ms", "times for which a stopping process runs in each 100 ms")
+	crossShapes   = flag.String("soak.cross", "streams,kept,uploads,held,hangup,output", "shapes of the requests that cross a stop, of them and sweep, mixed, planned, sheet, opened, bodies")
+	crossShares   = flag.String("soak.share", "100ms,30ms", "times for which stopping processes run in each 100 ms, in turn")
 	crossGateways = flag.Int("soak.crossing", 2, "number of gateways of each shape in TestRequestsCrossStop")
+	crossRate     = flag.Float64("soak.crossrate", 1, "factor for the rates of sheet and opened")
 	crossSeeds    = flag.Int("soak.crossseeds", 1, "number of seeds of TestRequestsCrossStop")
 )
 
@@ -24,8 +25,11 @@
 	firstCross = -500 * time.Millisecond
 	lastCross  = 4500 * time.Millisecond
 	// A stop closes its listener and its idle connections after these moments.
-	firstClose     = 2300 * time.Millisecond
-	lastClose      = 2750 * time.Millisecond
+	firstClose = 2300 * time.Millisecond
+	lastClose  = 2750 * time.Millisecond
+	// Without requests, a stop closes its idle connections between these moments.
+	firstSweep     = 2550 * time.Millisecond
+	lastSweep      = 2610 * time.Millisecond
 	lastUploadEnd  = 5 * time.Second
 	maxUploadBytes = 20_000
 )
@@ -34,22 +38,36 @@
 type crossShape struct {
 	// requests are the requests of one gateway. stallAt is the moment of a stall, 0 if none.
 	requests func(random *rand.Rand, stallAt time.Duration) []crossRequest
-	// stalls lets the gateway stall while it closes its listener and idle connections. Only a
-	// part of the stalls meets that time, so there are stallGateways times as many gateways.
-	stalls bool
+	// stallFrom and stallTo are the moments between which the gateway stalls, 0 if it does not.
+	// Only a part of the stalls meets the closes, so there are stallGateways times as many
+	// gateways.
+	stallFrom, stallTo time.Duration
 	// hangsUp sends SIGHUP in the stop, closesOutput ends the reader of the standard output
 	// before it.
 	hangsUp, closesOutput bool
+	// plans lets other planned work and failures of workers meet the stop.
+	plans bool
 }
 
+// plannedWork are the disturbances of a stop with other planned work, workPeriod the time
+// between two of them.
+const workPeriod = 150 * time.Millisecond
+
+var plannedWork = []string{"hup", "limits", "limits", "leave", "leave", faultShed, faultDouble, "stall"}
+
 var shapes = map[string]crossShape{
 	"streams": {requests: streamsOfStop},
-	"kept":    {requests: keptOfStall, stalls: true},
+	"kept":    {requests: keptOfStall, stallFrom: firstClose, stallTo: lastClose},
+	"sweep":   {requests: keptOfStall, stallFrom: firstSweep, stallTo: lastSweep},
 	"uploads": {requests: uploadsOfStop},
 	"held":    {requests: heldOfStop},
 	"hangup":  {requests: mixOfStop, hangsUp: true},
 	"output":  {requests: mixOfStop, closesOutput: true},
 	"mixed":   {requests: mixOfStop},
+	"planned": {requests: mixOfStop, plans: true},
+	"sheet":   {requests: sheetOfStop},
+	"opened":  {requests: openedOfStop},
+	"bodies":  {requests: bodiesOfStop},
 }
 
 // Numbers of requests of one gateway.
@@ -59,6 +77,7 @@
 	crossUploads = 48
 	crossHeld    = 250
 	crossMixed   = 20
+	crossBodies  = 120
 	// stallGateways is the factor for the gateways that stall.
 	stallGateways = 4
 )
@@ -105,6 +124,19 @@
 	return requests
 }
 
+// bodiesOfStop returns uploads whose bodies together exceed the memory of the gateway's VM.
+func bodiesOfStop(random *rand.Rand, _ time.Duration) []crossRequest {
+	var requests []crossRequest
+	for n := range crossBodies {
+		r := crossRequest{kind: nonIdempotentCall, path: "/slow/", kept: n%3 == 0, at: between(random, firstCross, firstClose), bytes: maxCrossBody/2 + random.IntN(maxCrossBody/2)}
+		if n%2 == 0 {
+			r.upload = between(random, max(r.at, 0)+time.Millisecond, lastUploadEnd) - r.at
+		}
+		requests = append(requests, r)
+	}
+	return requests
+}
+
 func heldOfStop(random *rand.Rand, _ time.Duration) []crossRequest {
 	var requests []crossRequest
 	for n := range crossHeld {
@@ -127,37 +159,82 @@
 	return append(requests, heldOfStop(random, 0)[:crossMixed]...)
 }
 
+// Load of one gateway of leso-print by its sheet: two gateways of a zone share 16.5 requests a
+// second, of which these are the parts of long streams and of calls that may be repeated.
+const (
+	sheetRate    = 16.5 / 2
+	sheetStreams = 4.57 / 54.8
+	sheetLookups = 12.5 / 54.8
+	// balancerTime is the time after which the load balancer opens no more connections.
+	balancerTime = maxFailedReadiness * readinessPeriod
+)
+
+// sheetOfStop returns the requests of the sheet's clients, who use open connections on.
+func sheetOfStop(random *rand.Rand, _ time.Duration) []crossRequest {
+	var requests []crossRequest
+	for range int(*crossRate * sheetRate * (lastCross - firstCross).Seconds()) {
+		r := crossRequest{kind: nonIdempotentCall, path: "/book/", at: between(random, firstCross, lastCross), bytes: random.IntN(3000)}
+		switch kind := random.Float64(); {
+		case kind < sheetStreams:
+			r.kind, r.path = stream, "/stream/"
+		case kind < sheetStreams+sheetLookups:
+			r.kind, r.path = idempotentCall, "/look/"
+		}
+		r.kept = r.at > balancerTime || random.IntN(2) == 0
+		requests = append(requests, r)
+	}
+	return requests
+}
+
+// openedOfStop is like sheetOfStop for clients that each open a connection, as long as the
+// gateway takes it.
+func openedOfStop(random *rand.Rand, _ time.Duration) []crossRequest {
+	requests := sheetOfStop(random, 0)
+	for n := range requests {
+		requests[n].kept = false
+	}
+	return requests
+}
+
 // TestRequestsCrossStop guards against a stop that ends a request without a whole answer,
 // whatever its shape and whenever it comes, also on a process with a third of a processor.
 func TestRequestsCrossStop(t *testing.T) {
+	var shares []time.Duration
+	for text := range strings.SplitSeq(*crossShares, ",") {
+		run, err := time.ParseDuration(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		shares = append(shares, run)
+	}
 	for i := range *crossSeeds {
 		seed := *firstSeed + uint64(i)
 		for name := range strings.SplitSeq(*crossShapes, ",") {
-			for text := range strings.SplitSeq(*crossShares, ",") {
-				run, err := time.ParseDuration(text)
-				shape, ok := shapes[name]
-				if err != nil || !ok {
-					t.Fatalf("shape %q, share %q: %v", name, text, err)
-				}
-				t.Run(fmt.Sprintf("%s-%s-seed-%d", name, text, seed), func(t *testing.T) {
-					t.Parallel()
-					runCrossing(t, seed, shape, run)
-				})
+			shape, ok := shapes[name]
+			if !ok {
+				t.Fatalf("unknown shape %q", name)
 			}
+			t.Run(fmt.Sprintf("%s-seed-%d", name, seed), func(t *testing.T) {
+				t.Parallel()
+				runCrossing(t, seed, shape, shares)
+			})
 		}
 	}
 }
 
-func runCrossing(t *testing.T, seed uint64, shape crossShape, run time.Duration) {
+// runCrossing runs one seed of a shape. The gateways take turns with the shares of the
+// processor.
+func runCrossing(t *testing.T, seed uint64, shape crossShape, shares []time.Duration) {
 	f := newCrossFleet(t, seed)
 	var tally crossTally
 	var wg sync.WaitGroup
 	count := *crossGateways
-	if shape.stalls {
+	if shape.stallTo > 0 {
 		count *= stallGateways
 	}
 	for n := range count {
-		name := fmt.Sprintf("edge-%d", n+1)
+		run := shares[n%len(shares)]
+		name := fmt.Sprintf("edge-%d-%v", n+1, run)
 		closeOutput := func() {}
 		var g *gateway
 		if shape.closesOutput {
@@ -168,7 +245,14 @@
 		f.gateways = append(f.gateways, g)
 		wg.Go(func() { f.crossStop(g, rand.New(rand.NewPCG(seed, uint64(n))), n, shape, run, closeOutput, tally.add) })
 	}
+	done := make(chan struct{})
+	var background sync.WaitGroup
+	if shape.plans {
+		background.Go(func() { f.disturbUntil(done) })
+	}
 	wg.Wait()
+	close(done)
+	background.Wait()
 	report(t, f, tally.exchanges)
 	cut := judgeCut(tally.exchanges, f.log)
 	for _, finding := range cut {
@@ -177,12 +261,35 @@
 	t.Logf("%s: %s", t.Name(), tally.summary(append(judge(tally.exchanges, f.log), cut...)))
 }
 
+// disturbUntil applies planned work to the fleet until done is closed.
+func (f *fleet) disturbUntil(done <-chan struct{}) {
+	for {
+		select {
+		case <-done:
+			return
+		case <-time.After(workPeriod):
+			kind := plannedWork[f.random.IntN(len(plannedWork))]
+			if kind != "limits" {
+				f.disturb(kind)
+				continue
+			}
+			header, idle := 8192*(1+f.random.IntN(4)), 3000+1000*f.random.IntN(10)
+			f.note("configuration %d: max_header_bytes %d, idle_timeout_ms %d", f.version+1, header, idle)
+			f.configure(func(config object) {
+				configureCross(config)
+				limits := config["limits"].(object)
+				limits["max_header_bytes"], limits["idle_timeout_ms"] = header, idle
+			})
+		}
+	}
+}
+
 // crossStop stops a gateway while requests of the given shape cross the stop.
 func (f *fleet) crossStop(g *gateway, random *rand.Rand, number int, shape crossShape, run time.Duration, closeOutput func(), record func(exchange, bool)) {
 	f.awaitReady(g)
 	stallAt := time.Duration(0)
-	if shape.stalls {
-		stallAt = between(random, firstClose, lastClose)
+	if shape.stallTo > 0 {
+		stallAt = between(random, shape.stallFrom, shape.stallTo)
 	}
 	requests := shape.requests(random, stallAt)
 	clients := make([]*client, len(requests))
@@ -226,7 +333,14 @@
 	if shape.hangsUp {
 		background.Go(func() { g.hangUp(done) })
 	}
+	peak := 0
+	background.Go(func() { peak = g.watchMemory(done) })
 	wg.Wait()
 	close(done)
 	background.Wait()
+	f.t.Logf("%s: peak memory %d MiB of %d", g.name, peak, gatewayMemoryMB)
+	// The race detector takes several times the memory of the program.
+	if peak > gatewayMemoryMB && !raceEnabled {
+		f.t.Errorf("%s: peak memory %d MiB, limit %d", g.name, peak, gatewayMemoryMB)
+	}
 }
