--- a/internal/soak/stopcross_helpers_test.go
+++ b/internal/soak/stopcross_helpers_test.go
@@ -223,6 +223,24 @@
 	return g, closeReader
 }
 
+// setCores lets the gateways that are started until the end of the test use so many cores. The
+// test itself has read the variable before.
+func setCores(t *testing.T, cores int) {
+	t.Helper()
+	const variable = "GOMAXPROCS"
+	before, isSet := os.LookupEnv(variable)
+	if err := os.Setenv(variable, strconv.Itoa(cores)); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if isSet {
+			_ = os.Setenv(variable, before)
+		} else {
+			_ = os.Unsetenv(variable)
+		}
+	})
+}
+
 // dutyPeriod is the period in which a process gets its share of the processor.
 const dutyPeriod = 100 * time.Millisecond
 
--- a/internal/soak/stopcross_test.go
+++ b/internal/soak/stopcross_test.go
@@ -16,6 +16,7 @@
 	crossShapes   = flag.String("soak.cross", "streams,kept,uploads,held,hangup,output", "shapes of the requests that cross a stop, of them and sweep, mixed, planned, sheet, opened, bodies")
 	crossShares   = flag.String("soak.share", "100ms,30ms", "times for which stopping processes run in each 100 ms, in turn")
 	crossGateways = flag.Int("soak.crossing", 2, "number of gateways of each shape in TestRequestsCrossStop")
+	crossCores    = flag.Int("soak.cores", 1, "number of cores that a gateway uses in TestRequestsCrossStop, 0 for all")
 	crossRate     = flag.Float64("soak.crossrate", 1, "factor for the rates of sheet and opened")
 	crossSeeds    = flag.Int("soak.crossseeds", 1, "number of seeds of TestRequestsCrossStop")
 )
@@ -199,6 +200,9 @@
 // TestRequestsCrossStop guards against a stop that ends a request without a whole answer,
 // whatever its shape and whenever it comes, also on a process with a third of a processor.
 func TestRequestsCrossStop(t *testing.T) {
+	if *crossCores > 0 {
+		setCores(t, *crossCores)
+	}
 	var shares []time.Duration
 	for text := range strings.SplitSeq(*crossShares, ",") {
 		run, err := time.ParseDuration(text)
