--- a/internal/soak/stopcross_helpers_test.go
+++ b/internal/soak/stopcross_helpers_test.go
@@ -192,7 +192,8 @@
 		if begun && atWork && !strings.HasSuffix(e.content, lastEvent) {
 			continue
 		}
-		at := e.gateway.history().stops[0]
+		stops := e.gateway.history().stops
+		at := stops[len(stops)-1]
 		findings = append(findings, finding{"CUT", fmt.Sprintf("%s at %s: kind %d, kept %v, status %d, %d bytes, worker at work %v; sent %.3f s, ended %.3f s after SIGTERM (%v)",
 			e.id, e.gateway.name, e.kind, e.kept, e.status, len(e.content), atWork, e.sentAt.Sub(at).Seconds(), e.endedAt.Sub(at).Seconds(), e.err), e})
 	}
@@ -241,6 +242,22 @@
 	})
 }
 
+// restart stops the process and returns as soon as the next one takes connections.
+func (g *gateway) restart() {
+	g.mu.Lock()
+	exited := g.exited
+	g.mu.Unlock()
+	g.signal(syscall.SIGTERM)
+	<-exited
+	for deadline := time.Now().Add(startLimit); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if conn, err := net.Dial("tcp", g.front); err == nil {
+			_ = conn.Close()
+			return
+		}
+	}
+	g.t.Errorf("%s: no connection %v after its restart", g.name, startLimit)
+}
+
 // dutyPeriod is the period in which a process gets its share of the processor.
 const dutyPeriod = 100 * time.Millisecond
 
@@ -298,6 +315,14 @@
 	}
 }
 
+// meetsStop reports whether a request got a response after SIGTERM.
+func (c *crossTally) meetsStop() bool {
+	return slices.ContainsFunc(c.exchanges, func(e exchange) bool {
+		stops := e.gateway.history().stops
+		return e.complete && len(stops) > 0 && e.endedAt.After(stops[len(stops)-1])
+	})
+}
+
 // summary describes the requests and the findings in one line.
 func (c *crossTally) summary(findings []finding) string {
 	byRule, byStatus := map[string]int{}, map[int]int{}
@@ -308,7 +333,7 @@
 	for i := range c.exchanges {
 		e := &c.exchanges[i]
 		byStatus[e.status]++
-		if stops := e.gateway.history().stops; len(stops) > 0 && e.sentAt.After(stops[0].Add(lateSigterm)) && e.status == http.StatusOK {
+		if stops := e.gateway.history().stops; len(stops) > 0 && e.sentAt.After(stops[len(stops)-1].Add(lateSigterm)) && e.status == http.StatusOK {
 			late++
 		}
 	}
--- a/internal/soak/stopcross_test.go
+++ b/internal/soak/stopcross_test.go
@@ -13,11 +13,11 @@
 
 // Flags of TestRequestsCrossStop.
 var (
-	crossShapes   = flag.String("soak.cross", "streams,kept,uploads,held,hangup,output", "shapes of the requests that cross a stop, of them and sweep, mixed, planned, sheet, opened, bodies")
+	crossShapes   = flag.String("soak.cross", "streams,kept,uploads,held,hangup,output", "shapes of the requests that cross a stop, of them and sweep, mixed, planned, restart, usual, opened, bodies")
 	crossShares   = flag.String("soak.share", "100ms,30ms", "times for which stopping processes run in each 100 ms, in turn")
 	crossGateways = flag.Int("soak.crossing", 2, "number of gateways of each shape in TestRequestsCrossStop")
 	crossCores    = flag.Int("soak.cores", 1, "number of cores that a gateway uses in TestRequestsCrossStop, 0 for all")
-	crossRate     = flag.Float64("soak.crossrate", 1, "factor for the rates of sheet and opened")
+	crossRate     = flag.Float64("soak.crossrate", 1, "factor for the rates of usual and opened")
 	crossSeeds    = flag.Int("soak.crossseeds", 1, "number of seeds of TestRequestsCrossStop")
 )
 
@@ -46,14 +46,16 @@
 	// hangsUp sends SIGHUP in the stop, closesOutput ends the reader of the standard output
 	// before it.
 	hangsUp, closesOutput bool
+	// restarts stops the process as soon as it has been started again.
+	restarts bool
 	// plans lets other planned work and failures of workers meet the stop.
 	plans bool
 }
 
-// plannedWork are the disturbances of a stop with other planned work, workPeriod the time
-// between two of them.
+// workPeriod is the time between two disturbances of a stop with other planned work.
 const workPeriod = 150 * time.Millisecond
 
+// plannedWork are these disturbances.
 var plannedWork = []string{"hup", "limits", "limits", "leave", "leave", faultShed, faultDouble, "stall"}
 
 var shapes = map[string]crossShape{
@@ -66,7 +68,8 @@
 	"output":  {requests: mixOfStop, closesOutput: true},
 	"mixed":   {requests: mixOfStop},
 	"planned": {requests: mixOfStop, plans: true},
-	"sheet":   {requests: sheetOfStop},
+	"restart": {requests: openedMixOfStop, restarts: true},
+	"usual":   {requests: usualOfStop},
 	"opened":  {requests: openedOfStop},
 	"bodies":  {requests: bodiesOfStop},
 }
@@ -160,25 +163,34 @@
 	return append(requests, heldOfStop(random, 0)[:crossMixed]...)
 }
 
-// Load of one gateway of leso-print by its sheet: two gateways of a zone share 16.5 requests a
-// second, of which these are the parts of long streams and of calls that may be repeated.
+// Load of one of the two gateways of a zone with 16.5 requests a second, and the parts of long
+// streams and of calls that may be repeated in it.
 const (
-	sheetRate    = 16.5 / 2
-	sheetStreams = 4.57 / 54.8
-	sheetLookups = 12.5 / 54.8
+	usualRate    = 16.5 / 2
+	usualStreams = 4.57 / 54.8
+	usualLookups = 12.5 / 54.8
 	// balancerTime is the time after which the load balancer opens no more connections.
 	balancerTime = maxFailedReadiness * readinessPeriod
 )
 
-// sheetOfStop returns the requests of the sheet's clients, who use open connections on.
-func sheetOfStop(random *rand.Rand, _ time.Duration) []crossRequest {
+// openedMixOfStop is like mixOfStop for clients that each open a connection.
+func openedMixOfStop(random *rand.Rand, _ time.Duration) []crossRequest {
+	requests := mixOfStop(random, 0)
+	for n := range requests {
+		requests[n].kept = false
+	}
+	return requests
+}
+
+// usualOfStop returns requests of clients who use open connections on.
+func usualOfStop(random *rand.Rand, _ time.Duration) []crossRequest {
 	var requests []crossRequest
-	for range int(*crossRate * sheetRate * (lastCross - firstCross).Seconds()) {
+	for range int(*crossRate * usualRate * (lastCross - firstCross).Seconds()) {
 		r := crossRequest{kind: nonIdempotentCall, path: "/book/", at: between(random, firstCross, lastCross), bytes: random.IntN(3000)}
 		switch kind := random.Float64(); {
-		case kind < sheetStreams:
+		case kind < usualStreams:
 			r.kind, r.path = stream, "/stream/"
-		case kind < sheetStreams+sheetLookups:
+		case kind < usualStreams+usualLookups:
 			r.kind, r.path = idempotentCall, "/look/"
 		}
 		r.kept = r.at > balancerTime || random.IntN(2) == 0
@@ -187,10 +199,10 @@
 	return requests
 }
 
-// openedOfStop is like sheetOfStop for clients that each open a connection, as long as the
+// openedOfStop is like usualOfStop for clients that each open a connection, as long as the
 // gateway takes it.
 func openedOfStop(random *rand.Rand, _ time.Duration) []crossRequest {
-	requests := sheetOfStop(random, 0)
+	requests := usualOfStop(random, 0)
 	for n := range requests {
 		requests[n].kept = false
 	}
@@ -262,6 +274,9 @@
 	for _, finding := range cut {
 		t.Errorf("%v", finding)
 	}
+	if !tally.meetsStop() {
+		t.Error("no request was answered in a stop")
+	}
 	t.Logf("%s: %s", t.Name(), tally.summary(append(judge(tally.exchanges, f.log), cut...)))
 }
 
@@ -311,11 +326,17 @@
 		})
 	}
 	wg.Wait()
+	if shape.restarts {
+		g.restart()
+	}
 	done := make(chan struct{})
 	var background sync.WaitGroup
 	var stalling sync.Mutex
 	background.Go(func() { g.limitProcessor(run, &stalling, done) })
 	stopAt := time.Now().Add(-firstCross)
+	if shape.restarts {
+		stopAt = time.Now().Add(between(random, time.Millisecond, -firstCross))
+	}
 	for n, r := range requests {
 		wg.Go(func() {
 			defer clients[n].close()
