--- a/internal/soak/stopcross_helpers_test.go
+++ b/internal/soak/stopcross_helpers_test.go
@@ -242,11 +242,16 @@
 	})
 }
 
+// currentExit returns the channel that is closed when the current process has ended.
+func (g *gateway) currentExit() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.exited
+}
+
 // restart stops the process and returns as soon as the next one takes connections.
 func (g *gateway) restart() {
-	g.mu.Lock()
-	exited := g.exited
-	g.mu.Unlock()
+	exited := g.currentExit()
 	g.signal(syscall.SIGTERM)
 	<-exited
 	for deadline := time.Now().Add(startLimit); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
@@ -264,9 +269,7 @@
 // limitProcessor lets the process run for the given part of each dutyPeriod until it ends or
 // done is closed. It holds stalling while the process does not run.
 func (g *gateway) limitProcessor(run time.Duration, stalling sync.Locker, done <-chan struct{}) {
-	g.mu.Lock()
-	exited := g.exited
-	g.mu.Unlock()
+	exited := g.currentExit()
 	for run < dutyPeriod {
 		select {
 		case <-exited:
--- a/internal/soak/stopcross_test.go
+++ b/internal/soak/stopcross_test.go
@@ -353,6 +353,7 @@
 		})
 	}
 	time.Sleep(time.Until(stopAt))
+	exited := g.currentExit()
 	closeOutput()
 	g.signal(syscall.SIGTERM)
 	if shape.hangsUp {
@@ -361,6 +362,9 @@
 	peak := 0
 	background.Go(func() { peak = g.watchMemory(done) })
 	wg.Wait()
+	// A process that has not ended by then is killed at the end of the grace time, which is a
+	// finding.
+	<-exited
 	close(done)
 	background.Wait()
 	f.t.Logf("%s: peak memory %d MiB of %d", g.name, peak, gatewayMemoryMB)
