--- a/gateway/plannedswitch.go
+++ b/gateway/plannedswitch.go
@@ -148,7 +148,7 @@
 		return
 	}
 	close(p.known)
-	if p.outcome.err != nil && p.outcome.result.Handle == "" {
+	if p.outcome.result.Handle == "" {
 		return
 	}
 	timer := time.NewTimer(sourceCloseDelay)
