--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -181,7 +181,7 @@
 // but did not end the request, or nil if there is none. The argument n is the
 // number of segments before seg.
 func (s *streamRequest) nextSegment(ctx context.Context, seg *segment, segResult segmentResult, n int) *segment {
-	if !s.ranSoundly && s.isPartQuarantined() {
+	if _, _, quarantined := s.g.parts.Quarantined(s.req.SharedParts); quarantined {
 		return nil
 	}
 	if segResult == segmentBroken {
@@ -263,7 +263,8 @@
 	defer load.remove()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	defer s.watchParts(seg, cancel)()
+	seg.waiting = s.g.parts.Watch(s.req.SharedParts, func() { cancel(errPartQuarantined) })
+	defer s.g.parts.Unwatch(seg.waiting)
 	stopMigration := s.startMigration(ctx, seg)
 	defer func() { stopMigration(segResult) }()
 	at, err := s.g.startAttempt(ctx, s.req, seg.target, seg.attempt())
@@ -313,21 +314,6 @@
 	return segmentBroken, err
 }
 
-// watchParts ends a segment before its first event if a part of the prompt is quarantined. It
-// leaves out the continuation of a stream that a target has survived.
-func (s *streamRequest) watchParts(seg *segment, cancel context.CancelCauseFunc) (unwatch func()) {
-	if s.ranSoundly && seg.resume != nil {
-		return func() {}
-	}
-	seg.waiting = s.g.parts.Watch(s.req.SharedParts, func() { cancel(errPartQuarantined) })
-	return func() { s.g.parts.Unwatch(seg.waiting) }
-}
-
-func (s *streamRequest) isPartQuarantined() bool {
-	_, _, quarantined := s.g.parts.Quarantined(s.req.SharedParts)
-	return quarantined
-}
-
 func (seg *segment) attempt() AttemptMeta {
 	a := AttemptMeta{Resume: seg.resume, LastEventID: seg.lastEventID}
 	if seg.backup != nil {
