--- a/decision/retry.go
+++ b/decision/retry.go
@@ -85,14 +85,6 @@
 	return true
 }
 
-// Return returns a retry that was taken at the given time and was not sent.
-func (b *WindowBudget) Return(takenAt time.Time) {
-	index := takenAt.UnixNano() / max(int64(b.window)/windowParts, 1)
-	if p := &b.parts[index%int64(len(b.parts))]; p.index == index && p.retries > 0 {
-		p.retries--
-	}
-}
-
 // part returns the part that contains now. It replaces an expired part.
 func (b *WindowBudget) part(now time.Time) *windowPart {
 	index := now.UnixNano() / max(int64(b.window)/windowParts, 1)
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -69,11 +69,3 @@
 	defer b.mu.Unlock()
 	return b.serviceBudget(service).TryRetry(time.Now(), reserve)
 }
-
-// returnRetry returns a retry that was taken from the budget of a service at the given time and
-// was not sent.
-func (b *retryBudgets) returnRetry(service string, takenAt time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.serviceBudget(service).Return(takenAt)
-}
--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -255,24 +255,17 @@
 
 // startMigration starts a goroutine that migrates the request if the segment's
 // target leaves. It does nothing if the request cannot be migrated. The caller
-// must call stop with the result of the segment.
-func (s *streamRequest) startMigration(ctx context.Context, seg *segment) (stop func(segmentResult)) {
+// must call stop.
+func (s *streamRequest) startMigration(ctx context.Context, seg *segment) (stop func()) {
 	seg.startedAt = time.Now()
 	e := s.req.service.Engine
 	if e == nil || !e.CanMigrate || s.g.opts.Migrator == nil || s.req.expectedOutputTokens() < minBackupOutputTokens {
-		return func(segmentResult) {}
+		return func() {}
 	}
-	m := &segmentMigration{stream: s, segment: seg}
-	seg.migration = m
+	seg.migration = &segmentMigration{stream: s, segment: seg}
 	ctx, cancel := context.WithCancel(ctx)
-	go m.run(ctx)
-	return func(result segmentResult) {
-		if result == segmentBroken {
-			// The stream may continue from the copy, which is chosen after this.
-			m.copyUsed.Store(true)
-		}
-		cancel()
-	}
+	go seg.migration.run(ctx)
+	return cancel
 }
 
 // failoverSegments returns the segments that can continue the stream after the
--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -78,7 +78,7 @@
 			load := newSegmentLoad(s.req, seg)
 			defer load.remove()
 			at := &attempt{target: seg.target, resp: &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(c.events))}}
-			if err := s.relayEvents(t.Context(), at, load, seg); !errors.Is(err, c.err) {
+			if err := s.relayEvents(at, load, seg); !errors.Is(err, c.err) {
 				t.Fatalf("relayed with error %v, want %v", err, c.err)
 			}
 			if isKept := s.kept != nil; isKept != c.isKept {
--- a/gateway/sourcestop.go
+++ b/gateway/sourcestop.go
@@ -127,12 +127,13 @@
 	}
 	startedAt := time.Now()
 	stopper := &sourceStopper{
-		stream: s, source: source, destination: next.target, canMigrate: canMigrate, firstEventAt: s.sourceEventAt,
+		stream: s, source: source, destination: next.target, canMigrate: canMigrate, firstEventAt: s.sourceEventAt, isReserved: s.stopReserved,
 		outcome: make(chan sourceStop), expired: make(chan struct{}),
 	}
 	if next.resume != nil {
 		stopper.resume = *next.resume
 	}
+	s.stopReserved = false
 	go stopper.run()
 	timer := time.NewTimer(sourceStopLimit)
 	defer timer.Stop()
@@ -174,9 +175,6 @@
 	firstEventAt time.Time
 	// isReserved is set if the first call was counted in the source's hold before.
 	isReserved bool
-	// awaitsCalls is set if the calls in progress decide whether the source has stopped although
-	// the destination must not get the KV cache any more.
-	awaitsCalls bool
 	// outcome receives the outcome unless expired is closed before: the stream does not
 	// continue then.
 	outcome chan sourceStop
@@ -238,10 +236,6 @@
 				outcome.state = sourceStopped
 				return outcome, inFlight
 			case errors.Is(outcome.err, errTargetNotEligible):
-				if p.awaitsCalls && inFlight > 0 {
-					timer.Reset(maxSourceStopDelay)
-					continue
-				}
 				outcome.state = destinationIneligible
 				return outcome, inFlight
 			case httpclient.IsUnreachable(outcome.err):
@@ -316,6 +310,14 @@
 	return errSourceHeld
 }
 
+// reserveStop counts the call that stops the request at its source before the source's
+// connection is closed for a planned switch. It returns false if the source's hold allows
+// no call: the stream then stays where it is.
+func (s *streamRequest) reserveStop(source *registry.Target) bool {
+	s.stopReserved = source.Load.TryStop(time.Now())
+	return s.stopReserved
+}
+
 // keptCache is the KV cache of a request that its source has stopped and keeps.
 type keptCache struct {
 	source *registry.Target
@@ -341,10 +343,8 @@
 	return next
 }
 
-// freeKept deletes what the source of the stream keeps, unless the stream continues from it. The
-// retry that was reserved for a return there is not needed any more.
+// freeKept deletes what the source of the stream keeps, unless the stream continues from it.
 func (s *streamRequest) freeKept() {
-	s.reserved.release()
 	if kept := s.kept; kept != nil {
 		s.kept = nil
 		go s.freeUnlessResumed(kept.source, kept.resume.Handle, kept.next)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -46,19 +46,13 @@
 	// taken from the budget for the first of them.
 	failovers  []*segment
 	retrySpent bool
-	// reserved are the retries that were taken from the budget for a planned switch and are not
-	// used yet: for the continuation, and for the return to the source if that is refused.
-	reserved reservedRetries
-	// switched is set after a segment whose source has stopped it for a planned switch.
-	switched bool
-	// ranSoundly is set once a target has survived the begin of the stream, which then has no
-	// part that crashes targets.
-	ranSoundly bool
 	// source is the target of the last broken segment until it has confirmed that it does not
 	// run the request any more, nil if there is none. No segment starts before that.
 	source *registry.Target
 	// sourceEventAt is when the first event of that segment was read, zero if there was none.
 	sourceEventAt time.Time
+	// stopReserved is set if the first call that stops the source was counted in its hold.
+	stopReserved bool
 	// kept is what the source that was stopped last keeps, until the next target has
 	// accepted the stream. returned is set once the stream has returned to a source.
 	kept     *keptCache
@@ -86,8 +80,6 @@
 	firstEventAt time.Time
 	// recordedSound is set once the target has survived the begin of the answer.
 	recordedSound bool
-	// switchAfter is the earliest time of a planned switch after one that was given up.
-	switchAfter time.Time
 	// aligned is set once the events of a continuation follow those before it.
 	aligned bool
 }
@@ -187,16 +179,13 @@
 	if segResult == segmentBroken {
 		// The first event of a later segment does not measure the reserved target.
 		s.req.expectedPrefill = 0
-		if s.switched {
-			s.switched = false
-			s.recordRun(seg)
-			return s.continueStream(ctx, seg, segResult, n)
-		}
 		// The target may have used the copy, or may still run the request.
 		s.freeKept()
 		s.recordRun(seg)
 		s.source, s.sourceEventAt = seg.target, seg.firstEventAt
-		s.failovers = s.failoverSegments(seg)
+		if !s.retrySpent {
+			s.failovers = s.failoverSegments(seg)
+		}
 		return s.stopSource(ctx, seg, s.continueStream(ctx, seg, segResult, n), n)
 	}
 	if seg.resume != nil || s.mayHaveRun {
@@ -220,7 +209,9 @@
 	if len(s.failovers) == 0 && !s.canReturnToSource() {
 		return nil
 	}
-	if !s.takeRetry() {
+	retrySpent := s.retrySpent
+	s.retrySpent = false
+	if !retrySpent && !s.g.retryBudgets.spendRetry(s.req.service.Name) {
 		telemetry.Warn(s.g.opts.Logger, "stream not continued", "request", s.req.ID, "reason", "retry budget exhausted", "members", s.g.members.Count())
 		return nil
 	}
@@ -257,7 +248,7 @@
 
 // serveSegment dispatches the request to the segment's target and relays its
 // events to the client.
-func (s *streamRequest) serveSegment(ctx context.Context, seg *segment) (segResult segmentResult, _ error) {
+func (s *streamRequest) serveSegment(ctx context.Context, seg *segment) (segmentResult, error) {
 	s.resumption.lastFailure = nil
 	load := newSegmentLoad(s.req, seg)
 	defer load.remove()
@@ -266,7 +257,7 @@
 	seg.waiting = s.g.parts.Watch(s.req.SharedParts, func() { cancel(errPartQuarantined) })
 	defer s.g.parts.Unwatch(seg.waiting)
 	stopMigration := s.startMigration(ctx, seg)
-	defer func() { stopMigration(segResult) }()
+	defer stopMigration()
 	at, err := s.g.startAttempt(ctx, s.req, seg.target, seg.attempt())
 	complete := false
 	defer func() { s.g.release(at, complete) }()
@@ -293,7 +284,7 @@
 	if at.resp.StatusCode != http.StatusOK || !at.respMeta.Signed {
 		return s.relayFailure(ctx, at)
 	}
-	err = s.relayEvents(ctx, at, load, seg)
+	err = s.relayEvents(at, load, seg)
 	switch {
 	case errors.Is(err, io.EOF):
 		complete = true
@@ -346,16 +337,14 @@
 // relayEvents relays events until the stream ends, fails or switches to another
 // target. It always returns an error: io.EOF for a clean end, errSwitch for a
 // switch.
-func (s *streamRequest) relayEvents(ctx context.Context, at *attempt, load *segmentLoad, seg *segment) error {
+func (s *streamRequest) relayEvents(at *attempt, load *segmentLoad, seg *segment) error {
 	events := s.newReadAhead(at, seg)
 	defer events.reader.release()
 	defer events.stop()
-	var planned *plannedStop
-	defer func() { planned.end() }()
 	for {
 		ev, err := events.next()
 		if err != nil {
-			return s.finishSwitch(ctx, at, planned, err)
+			return err
 		}
 		load.setPrefillPending(false)
 		s.recordSound(seg, false, ev.readAt)
@@ -363,7 +352,7 @@
 			continue
 		}
 		if err := s.checkGap(seg, ev); err != nil {
-			return s.finishSwitch(ctx, at, planned, err)
+			return err
 		}
 		if ev.id != "" || ev.hasData {
 			// Not before: a comment doesn't show where the target continues.
@@ -374,13 +363,11 @@
 		if err := events.write(func() error { return s.writeEvent(ev, flush) }); err != nil {
 			return errors.Mark(err, errClientWrite)
 		}
-		switch {
-		case planned.hasFailed():
-			planned.end()
-			planned = nil
-			seg.switchAfter = time.Now().Add(migrationRetryDelay)
-		case planned == nil && events.mayEnd() && seg.switchRequested():
-			planned = s.beginSwitch(at, seg)
+		if !events.mayEnd() || !seg.switchRequested() || at.conn.Await(s.endWait()) {
+			continue
+		}
+		if s.prepareSwitch(seg) {
+			return errSwitch
 		}
 	}
 }
@@ -402,7 +389,7 @@
 		s.g.parts.Unwatch(seg.waiting)
 	}
 	if !seg.recordedSound && (complete || now.Sub(seg.firstEventAt) >= soundRunTime) {
-		seg.recordedSound, s.ranSoundly = true, true
+		seg.recordedSound = true
 		s.g.parts.RecordSound(s.req.SharedParts, seg.firstEventAt)
 	}
 }
@@ -431,6 +418,39 @@
 	return seg.migration != nil && seg.migration.switchRequested.Load()
 }
 
+// Limits of the time that a planned switch waits for the end of the stream. A target sends
+// the end with the last event or just after it, sooner than it generates a further event.
+const (
+	minEndWait = 500 * time.Microsecond
+	maxEndWait = 20 * time.Millisecond
+)
+
+// endWait returns how long a planned switch waits after an event for the end of the stream:
+// half of the mean time between events. A stream must not switch after its last event,
+// since no target can continue a request that has ended.
+func (s *streamRequest) endWait() time.Duration {
+	firstEventAt := s.req.arrivedAt.Add(s.timeToFirstEvent)
+	meanGap := s.lastEventAt.Sub(firstEventAt) / time.Duration(max(s.deliveredEvents-1, 1))
+	return min(max(meanGap/2, minEndWait), maxEndWait)
+}
+
+// prepareSwitch reports whether the stream switches to another target, as requested. It
+// does so if another target is known to hold the KV cache and takes the request, the source
+// may be asked to stop it, and the retry budget allows it.
+func (s *streamRequest) prepareSwitch(seg *segment) bool {
+	now := time.Now()
+	if !seg.target.Load.CanStop(now) {
+		return false
+	}
+	failovers := slices.DeleteFunc(s.failoverSegments(seg), func(f *segment) bool { return !f.target.Load.CanResume(now) })
+	if len(failovers) == 0 || !s.g.retryBudgets.spendRetry(s.req.service.Name) || !s.reserveStop(seg.target) {
+		return false
+	}
+	s.failovers = failovers
+	s.retrySpent = true
+	return true
+}
+
 // sendHeader sends the response header to the client unless it was sent before.
 func (s *streamRequest) sendHeader(resp *http.Response) {
 	if s.headerSent {
