--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -102,7 +102,7 @@
 		return nil, "dispatch limit reached"
 	case s.resumption.unnumbered:
 		return nil, "events without numeric ids"
-	case s.g.quarantineError(s.req) != nil:
+	case s.g.quarantineError(s.req) != nil, s.isPartQuarantined():
 		return nil, "quarantined"
 	case !s.req.body.Reuse():
 		return nil, "body dropped"
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -46,6 +46,9 @@
 	// taken from the budget for the first of them.
 	failovers  []*segment
 	retrySpent bool
+	// ranSoundly is set once a target has survived the begin of the stream, which then has no
+	// part that crashes targets.
+	ranSoundly bool
 	// source is the target of the last broken segment until it has confirmed that it does not
 	// run the request any more, nil if there is none. No segment starts before that.
 	source *registry.Target
@@ -173,7 +176,7 @@
 // but did not end the request, or nil if there is none. The argument n is the
 // number of segments before seg.
 func (s *streamRequest) nextSegment(ctx context.Context, seg *segment, segResult segmentResult, n int) *segment {
-	if _, _, quarantined := s.g.parts.Quarantined(s.req.SharedParts); quarantined {
+	if !s.ranSoundly && s.isPartQuarantined() {
 		return nil
 	}
 	if segResult == segmentBroken {
@@ -254,8 +257,7 @@
 	defer load.remove()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	seg.waiting = s.g.parts.Watch(s.req.SharedParts, func() { cancel(errPartQuarantined) })
-	defer s.g.parts.Unwatch(seg.waiting)
+	defer s.watchParts(seg, cancel)()
 	stopMigration := s.startMigration(ctx, seg)
 	defer stopMigration()
 	at, err := s.g.startAttempt(ctx, s.req, seg.target, seg.attempt())
@@ -305,6 +307,21 @@
 	return segmentBroken, err
 }
 
+// watchParts ends a segment before its first event if a part of the prompt is quarantined. It
+// leaves out the continuation of a stream that a target has survived.
+func (s *streamRequest) watchParts(seg *segment, cancel context.CancelCauseFunc) (unwatch func()) {
+	if s.ranSoundly && seg.resume != nil {
+		return func() {}
+	}
+	seg.waiting = s.g.parts.Watch(s.req.SharedParts, func() { cancel(errPartQuarantined) })
+	return func() { s.g.parts.Unwatch(seg.waiting) }
+}
+
+func (s *streamRequest) isPartQuarantined() bool {
+	_, _, quarantined := s.g.parts.Quarantined(s.req.SharedParts)
+	return quarantined
+}
+
 func (seg *segment) attempt() AttemptMeta {
 	a := AttemptMeta{Resume: seg.resume, LastEventID: seg.lastEventID}
 	if seg.backup != nil {
@@ -389,7 +406,7 @@
 		s.g.parts.Unwatch(seg.waiting)
 	}
 	if !seg.recordedSound && (complete || now.Sub(seg.firstEventAt) >= soundRunTime) {
-		seg.recordedSound = true
+		seg.recordedSound, s.ranSoundly = true, true
 		s.g.parts.RecordSound(s.req.SharedParts, seg.firstEventAt)
 	}
 }
@@ -436,10 +453,15 @@
 
 // prepareSwitch reports whether the stream switches to another target, as requested. It
 // does so if another target is known to hold the KV cache and takes the request, the source
-// may be asked to stop it, and the retry budget allows it.
+// may be asked to stop it, the retry budget allows it, and a stop of the process leaves time for
+// the first event there.
 func (s *streamRequest) prepareSwitch(seg *segment) bool {
 	now := time.Now()
-	if !seg.target.Load.CanStop(now) {
+	if s.g.stopPhase.dispatchEnded() || !seg.target.Load.CanStop(now) {
+		return false
+	}
+	if len(s.req.SharedParts) > 0 && !s.ranSoundly {
+		// A part that is quarantined just then would end the stream.
 		return false
 	}
 	failovers := slices.DeleteFunc(s.failoverSegments(seg), func(f *segment) bool { return !f.target.Load.CanResume(now) })
