--- a/internal/soak/idle_test.go
+++ b/internal/soak/idle_test.go
@@ -137,7 +137,7 @@
 	keptAt := time.Now()
 	time.Sleep(time.Until(keptAt.Add(shortIdleTimeout - stallTime)))
 	// A connection whose first request took less time than the slowest one may be closed.
-	clients = slices.DeleteFunc(clients, func(c *client) bool { return closedByPeer(t, c) })
+	clients = slices.DeleteFunc(slices.Clone(clients), func(c *client) bool { return closedByPeer(t, c) })
 	wg.Go(func() { g.stall(2 * stallTime) })
 	time.Sleep(stallSendDelay)
 	for _, c := range clients {
