--- a/internal/httpserve/listener.go
+++ b/internal/httpserve/listener.go
@@ -80,9 +80,11 @@
 	// the process did not run meanwhile. So many in a row end the search.
 	lastAcceptPeriod = 10 * time.Millisecond
 	lastAccepts      = 3
-	// maxSearchTime limits the search while clients go on opening connections, or if they
-	// can't be accepted, for example when the process is out of file descriptors.
-	maxSearchTime = 300 * time.Millisecond
+	// maxSearchTime limits the search while clients go on opening connections. It then ends once
+	// no connection waits, or after maxLastSearchTime if they can't be accepted, for example when
+	// the process is out of file descriptors.
+	maxSearchTime     = 300 * time.Millisecond
+	maxLastSearchTime = 100 * time.Millisecond
 )
 
 // acceptOpened accepts a connection that has been opened: the close of the listener would
@@ -94,7 +96,7 @@
 	}
 	for failed := 0; ; failed++ {
 		l.countSearchTime()
-		if l.searched >= maxSearchTime || failed >= lastAccepts && !readable(tcp) {
+		if l.searched >= maxSearchTime+maxLastSearchTime || (l.searched >= maxSearchTime || failed >= lastAccepts) && !readable(tcp) {
 			break
 		}
 		if tcp.SetDeadline(time.Now().Add(lastAcceptPeriod)) != nil {
--- a/internal/httpserve/listener_test.go
+++ b/internal/httpserve/listener_test.go
@@ -56,6 +56,38 @@
 	wg.Wait()
 }
 
+// Guards against a stop that resets the connections which wait when its search for opened
+// connections has lasted as long as it may.
+func TestStoppedListenerAcceptsWhatWaitsAtTheEndOfItsSearch(t *testing.T) {
+	const waiting = 20
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := NewListener(tcp, nil)
+	l.searched = maxSearchTime
+	for range waiting {
+		c, err := net.Dial("tcp", tcp.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+	}
+	l.Stop()
+	accepted := 0
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			break
+		}
+		accepted++
+		_ = c.Close()
+	}
+	if accepted != waiting {
+		t.Errorf("%d of %d opened connections were accepted", accepted, waiting)
+	}
+}
+
 // BenchmarkCount measures one poll of a stop with many idle connections.
 func BenchmarkCount(b *testing.B) {
 	const opened = 2000
