--- a/internal/httpserve/conn.go
+++ b/internal/httpserve/conn.go
@@ -14,6 +14,10 @@
 // lateReadTimeout limits the reads after a deadline that has passed while data waited.
 const lateReadTimeout = time.Second
 
+// lateBodyReadTimeout is the same for the body of a request. It is shorter than the time that the
+// end of a stop leaves for the refusal of the request.
+const lateBodyReadTimeout = 200 * time.Millisecond
+
 // conn is a server's connection whose read deadline does not discard received data. A
 // process that did not run for a while finds the deadline passed and the data of a request
 // unread; the server would close the connection without a response.
@@ -27,8 +31,6 @@
 	idle atomic.Bool
 	// grown is set once the send buffer has been enlarged.
 	grown atomic.Bool
-	// resets is set while a close resets the connection, see ResetCut.
-	resets atomic.Bool
 
 	// mu guards readDeadline and is held while it is set.
 	mu           sync.Mutex
@@ -43,7 +45,11 @@
 	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.keepsOpen() || c.extended.Swap(true) {
 		return n, err
 	}
-	if err := c.TCPConn.SetReadDeadline(time.Now().Add(lateReadTimeout)); err != nil {
+	timeout := lateReadTimeout
+	if !c.idle.Load() {
+		timeout = lateBodyReadTimeout
+	}
+	if err := c.TCPConn.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 		return 0, err
 	}
 	return c.read(p)
--- a/internal/httpserve/conn_test.go
+++ b/internal/httpserve/conn_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"net/http"
 	"os"
 	"testing"
 	"time"
@@ -61,3 +62,33 @@
 		t.Errorf("read after a new deadline: %v", err)
 	}
 }
+
+// Guards against an upload that is cut without an answer at the end of a stop: unread data put off
+// the end of its reads for longer than the stop has left for the refusal (issue 56).
+func TestReadOfABodyEndsSoonAfterItsDeadline(t *testing.T) {
+	client, server := acceptPair(t)
+	conns := NewConnections()
+	conns.SetState(server, http.StateActive)
+	if _, err := client.Write([]byte("a")); err != nil {
+		t.Fatal(err)
+	}
+	for !readable(server) {
+		time.Sleep(time.Millisecond)
+	}
+	if err := server.SetReadDeadline(pastDeadline); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := server.Read(make([]byte, 1)); err != nil {
+		t.Errorf("read of received data after its deadline: %v", err)
+	}
+	time.Sleep(lateBodyReadTimeout)
+	if _, err := client.Write([]byte("b")); err != nil {
+		t.Fatal(err)
+	}
+	for !readable(server) {
+		time.Sleep(time.Millisecond)
+	}
+	if _, err := server.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("read of a body after the extended deadline: %v, want a timeout", err)
+	}
+}
