--- a/internal/httpserve/cut.go
+++ b/internal/httpserve/cut.go
@@ -13,21 +13,22 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if guarded := connguard.FromContext(r.Context()); guarded != nil && !r.ProtoAtLeast(1, 1) {
 			if c := wrapped(guarded); c != nil {
-				c.resets.Store(true)
-				// A handler that panics leaves the response incomplete.
+				// Also the kill of the process then resets the connection.
+				_ = c.SetLinger(0)
+				complete := false
+				defer func() {
+					if complete {
+						_ = c.SetLinger(-1)
+						return
+					}
+					// Before TLS announces an orderly end. The server closes it once more.
+					_ = c.Close()
+				}()
 				handler.ServeHTTP(w, r)
-				c.resets.Store(false)
+				complete = true
 				return
 			}
 		}
 		handler.ServeHTTP(w, r)
 	})
 }
-
-// Close implements net.Conn.
-func (c *conn) Close() error {
-	if c.resets.Load() {
-		_ = c.SetLinger(0)
-	}
-	return c.TCPConn.Close()
-}
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -65,7 +65,7 @@
 	}
 	s.listener.SetGuard(g)
 	s.server.ConnContext = connguard.Context
-	s.server.Handler = connguard.Handler(s.server.Handler, factor, paired)
+	s.server.Handler = ResetCut(connguard.Handler(s.server.Handler, factor, paired))
 }
 
 // Serve implements suture.Service. A closed listener cannot be reopened, so the
