--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -54,7 +54,7 @@
 	defaultBalancerGrace = 2500 * time.Millisecond
 	defaultStopLimit     = 8 * time.Second
 	// stopMargin is the time between the end of a graceful stop and the time at
-	// which the process is killed. All answers have been written before.
+	// which the process is killed. Answers that were due late take up to minAnswerTime of it.
 	stopMargin = 150 * time.Millisecond
 )
 
--- a/internal/httpserve/connections.go
+++ b/internal/httpserve/connections.go
@@ -120,11 +120,9 @@
 	// quietPeriod is how long no connection may carry a request before idle ones are closed.
 	// A connection counts as idle until the header of its next request has been read.
 	quietPeriod = 50 * time.Millisecond
-	// lastPhaseTime is the time before the end of a stop from which on idle connections are
+	// lastPhaseTime limits the time before the end of a stop from which on idle connections are
 	// closed also while others carry requests: the end of the stop would close a connection
-	// whose request has arrived.
-	// It exceeds maxDiscardTime of gateways, so that a request that arrives before is answered.
-	// In a short stop it is lastPhaseFraction of the limit.
+	// whose request has arrived. It is lastPhaseFraction of the time that Close may take.
 	lastPhaseTime     = time.Second
 	lastPhaseFraction = 1.0 / 8
 )
