agent: a test's reservation does not expire while the test gets no processor time

Cause: a granted reservation expires after 1 s, whatever the test does meanwhile. A test that is interrupted for longer between the grant and its next step finds the slot free (line 80); the second part, which rests on the first, then sends a call that was never revoked.

No assertion changed. The product's time is the same.

--- a/agent/control.go
+++ b/agent/control.go
@@ -24,6 +24,8 @@
 	models   []string
 	// report is the engine's latest load report. It lags behind the engine.
 	report target.LoadReport
+	// reservationTTL is how long granted capacity is kept for its attempt or call.
+	reservationTTL time.Duration
 }
 
 // retiredJob records a job that ended, was revoked or expired, so that late messages
@@ -78,10 +80,11 @@
 		commands: make(chan func(*state)),
 		stopped:  make(chan struct{}),
 		state: &state{
-			queue:   decision.NewQueue(a.opts.Limits),
-			jobs:    map[string]*job{},
-			retired: map[string]retiredJob{},
-			ready:   a.plain != nil,
+			queue:          decision.NewQueue(a.opts.Limits),
+			jobs:           map[string]*job{},
+			retired:        map[string]retiredJob{},
+			ready:          a.plain != nil,
+			reservationTTL: defaultReservationTTL,
 		},
 	}
 	c.publish()
--- a/agent/reserve.go
+++ b/agent/reserve.go
@@ -9,8 +9,8 @@
 	"github.com/quetzalglade/quetzalglade/result"
 )
 
-// reservationTTL is how long granted capacity is kept for its attempt or call.
-const reservationTTL = time.Second
+// defaultReservationTTL is long enough for an attempt or call to follow its reservation.
+const defaultReservationTTL = time.Second
 
 // handleReserve queues a reservation and answers when the reservation is granted
 // or refused. The reservation is revoked if the sender disconnects.
@@ -55,7 +55,7 @@
 		request: msg.Request,
 		admit: func() {
 			results <- nil
-			time.AfterFunc(reservationTTL, func() { a.control.do(func(s *state) { a.control.expireReservation(s, msg.ID) }) })
+			time.AfterFunc(a.control.state.reservationTTL, func() { a.control.do(func(s *state) { a.control.expireReservation(s, msg.ID) }) })
 		},
 		refuse: func(e *result.Error) { results <- e },
 	}
--- a/agent/reserve_test.go
+++ b/agent/reserve_test.go
@@ -68,6 +68,11 @@
 	})
 }
 
+// keepReservations sets how long capacity that is granted from now on is kept.
+func (o *oneSlotAgent) keepReservations(ttl time.Duration) {
+	o.agent.control.do(func(s *state) { s.reservationTTL = ttl })
+}
+
 // TestReservations guards against a reservation that takes a second slot beside its
 // call, that still starts work after it was revoked, or that blocks its slot forever
 // because the call never arrives.
@@ -75,6 +80,8 @@
 	o := startOneSlotAgent(t)
 	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
 	defer cancel()
+	// A reservation that is to be used does not expire while the test gets no processor time.
+	o.keepReservations(answerTimeout)
 	Convey("A granted reservation occupies the only slot, and the call with its ID uses that slot", t, func() {
 		So(o.reserve(ctx, "first"), ShouldBeNil)
 		So(o.agent.State().Load.Running, ShouldEqual, 1)
@@ -95,7 +102,9 @@
 		So(result.From(err).Ran, ShouldEqual, result.RanNo)
 	})
 	Convey("Reserved capacity that no call uses expires and is granted to the next reservation", t, func() {
+		o.keepReservations(defaultReservationTTL)
 		So(o.reserve(ctx, "unused"), ShouldBeNil)
+		o.keepReservations(answerTimeout)
 		So(o.reserve(ctx, "next"), ShouldBeNil)
 		_, err := o.call(ctx, "unused")
 		So(result.From(err).Ran, ShouldEqual, result.RanNo)
