--- a/gateway/body_test.go
+++ b/gateway/body_test.go
@@ -61,7 +61,7 @@
 }
 
 // Guards against an upload that the end of a stop cuts without an answer, because the request is
-// read until then (issue 56).
+// read until then.
 func TestUploadInProgressIsRefusedAtTheEndOfAStop(t *testing.T) {
 	g := &Gateway{bodies: bodybudget.New(bodyMemoryBytes(0)), stopPhase: newStopPhase()}
 	reading := make(chan struct{})
--- a/internal/httpserve/conn_test.go
+++ b/internal/httpserve/conn_test.go
@@ -64,7 +64,7 @@
 }
 
 // Guards against an upload that is cut without an answer at the end of a stop: unread data put off
-// the end of its reads for longer than the stop has left for the refusal (issue 56).
+// the end of its reads for longer than the stop has left for the refusal.
 func TestReadOfABodyEndsSoonAfterItsDeadline(t *testing.T) {
 	client, server := acceptPair(t)
 	conns := NewConnections()
--- a/internal/httpserve/shutdown_test.go
+++ b/internal/httpserve/shutdown_test.go
@@ -19,7 +19,7 @@
 
 // Guards against requests on kept connections that lie unread, and are reset without an answer
 // after a stall, between the moment at which the server finds an idle connection empty and its
-// close (issue 56).
+// close.
 func TestIdleConnectionIsShutDownBeforeTheServerClosesIt(t *testing.T) {
 	for _, state := range []http.ConnState{http.StateNew, http.StateIdle} {
 		client, server := acceptPair(t)
@@ -95,7 +95,7 @@
 func (endlessContext) Deadline() (time.Time, bool) { return time.Now().Add(lastPhaseTime / 4), true }
 
 // Guards against a stop that keeps idle connections open to its end because others carry requests,
-// and then closes them although requests have arrived (issue 56).
+// and then closes them although requests have arrived.
 func TestStopClosesIdleConnectionsBesideARequest(t *testing.T) {
 	conns := NewConnections()
 	_, active := acceptPair(t)
@@ -131,7 +131,7 @@
 )
 
 // Guards against several requests that are lost at once because a process stalls while it closes
-// its idle connections (issue 56). Between two system calls of one thread no process can know of a
+// its idle connections. Between two system calls of one thread no process can know of a
 // request.
 func TestStallLosesOneIdleConnectionAtMost(t *testing.T) {
 	var lost, open int
--- a/internal/soak/stopread_test.go
+++ b/internal/soak/stopread_test.go
@@ -22,7 +22,7 @@
 )
 
 // TestStalledEndOfStopLosesNoLateRequest guards against requests on kept connections that the end
-// of a stop closes unread, because a stream has kept the connections open until then (issue 56).
+// of a stop closes unread, because a stream has kept the connections open until then.
 func TestStalledEndOfStopLosesNoLateRequest(t *testing.T) {
 	f := newFleet(t, 1, 0)
 	for _, w := range f.workers {
