--- a/gateway/body.go
+++ b/gateway/body.go
@@ -72,12 +72,12 @@
 		}
 		return nil
 	case errors.Is(err, bodybudget.ErrTooLarge):
-		g.discardBody(w, r, limit+maxDiscardBytes)
+		g.discardBodyInTime(w, r, limit+maxDiscardBytes)
 		return result.New(result.BodyTooLarge, result.RanNo, "the body exceeds %d bytes", limit)
 	case errors.Is(err, bodybudget.ErrFull):
 		telemetry.Info(g.opts.Logger, "no memory for body", "request", req.ID, "route", req.route.Name, "priority", req.priority,
 			"declared", r.ContentLength, "held", g.bodies.Used(), "limit", g.bodies.MaxBytes(), "waited_ms", time.Since(startedAt).Milliseconds(), "err", err)
-		g.discardBody(w, r, limit)
+		g.discardBodyInTime(w, r, limit)
 		if g.stopPhase.dispatchEnded() {
 			return stoppingError()
 		}
@@ -90,9 +90,9 @@
 	return result.New(result.InvalidRequest, result.RanNo, "the body could not be read")
 }
 
-// discardBody is like the function of this name, but not once the requests in progress must be
+// discardBodyInTime is like discardBody, but leaves the body unread once the requests in progress must be
 // answered.
-func (g *Gateway) discardBody(w http.ResponseWriter, r *http.Request, limit int64) {
+func (g *Gateway) discardBodyInTime(w http.ResponseWriter, r *http.Request, limit int64) {
 	if g.stopPhase.answer.Err() != nil {
 		w.Header().Set("Connection", "close")
 		return
