gateway: the time for the last answers of a stop grows with their number if the process is slow

Cause: the answers are due 0.4 s before the end of the stop, whatever their number. 250 answers take a process with a part of a core longer, and it is killed meanwhile.

Ruled out: more time in every process.

Change: from two thirds of the stop on a timer runs each 50 ms. Once one is late by more than 20 ms, the answers are due 2 ms earlier for each request that awaits its answer, in the last third of the stop at most. Streams that have begun do not count: an earlier cut would not help them.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -37,6 +37,9 @@
 	arrivedAt       time.Time
 	// conn is the client's connection in the account of the process, nil if there is none.
 	conn *connguard.Conn
+	// answerBegun tells the stop of the process that the request awaits its answer no more.
+	// It is nil in requests that do not count there.
+	answerBegun func()
 	// deadline is the time by which the response must be complete.
 	deadline time.Time
 	// triedTargets holds the ids of the targets that were chosen for the request.
@@ -91,7 +94,10 @@
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	answerBegun := g.stopPhase.awaitAnswer()
+	defer answerBegun()
 	req, failure := g.admit(w, r)
+	req.answerBegun = answerBegun
 	defer req.releaseBody()
 	if failure != nil {
 		g.respondError(w, req, failure)
--- a/gateway/stopphase.go
+++ b/gateway/stopphase.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,9 +22,15 @@
 	maxDispatchFraction = 2.0 / 3
 	// stopAnswerTime is the time before the end of the stop at which the requests in
 	// progress are answered. It lets a process with little processor time write the answers.
-	// In a short stop it is maxAnswerFraction of the limit.
+	// Such a process takes requestAnswerTime more for each request that awaits its answer. In
+	// all it is maxAnswerFraction of the limit at most.
 	stopAnswerTime    = 400 * time.Millisecond
+	requestAnswerTime = 2 * time.Millisecond
 	maxAnswerFraction = 1 - maxDispatchFraction
+	// A process gets little processor time if a timer of answerCheckPeriod is late by more than
+	// maxTimerDelay. Quotas of processor time hold for periods of 100 ms.
+	answerCheckPeriod = 50 * time.Millisecond
+	maxTimerDelay     = 20 * time.Millisecond
 	// minAnswerTime is the time for these answers in a process that did not run when they
 	// were due.
 	minAnswerTime = 100 * time.Millisecond
@@ -36,25 +43,41 @@
 // stop that they name, and end later than it in a process with little processor time. What
 // may still be begun is decided by the clock.
 type stopPhase struct {
-	times                  atomic.Pointer[stopTimes]
+	times atomic.Pointer[stopTimes]
+	// awaiting is the number of requests whose answer has not begun.
+	awaiting               atomic.Int64
 	dispatch, answer, stop context.Context
 	endDispatch, endStop   context.CancelFunc
 	endAnswer              context.CancelCauseFunc
 }
 
-// stopTimes holds the ends of the phases of a stop.
-type stopTimes struct{ accept, dispatch, answer, stop time.Time }
+// stopTimes holds the limit of a stop and the ends of its phases.
+type stopTimes struct {
+	limit                  time.Duration
+	accept, dispatch, stop time.Time
+}
 
 // newStopTimes returns the times of a stop that began at startedAt.
 func newStopTimes(startedAt time.Time, balancerGrace, limit time.Duration) *stopTimes {
 	return &stopTimes{
+		limit:    limit,
 		accept:   startedAt.Add(acceptTime(balancerGrace, limit)),
 		dispatch: startedAt.Add(time.Duration(maxDispatchFraction * float64(limit))),
-		answer:   startedAt.Add(limit - answerTime(limit)),
 		stop:     startedAt.Add(limit),
 	}
 }
 
+// untilAnswer returns how long after now the given number of requests must be answered, and
+// whether the process gets little processor time: a timer that was due at dueAt runs now, or
+// wasSlow.
+func (t *stopTimes) untilAnswer(now, dueAt time.Time, awaiting int64, wasSlow bool) (wait time.Duration, isSlow bool) {
+	isSlow = wasSlow || now.Sub(dueAt) > maxTimerDelay
+	if !isSlow {
+		awaiting = 0
+	}
+	return t.stop.Add(-answerTime(t.limit, awaiting)).Sub(now), isSlow
+}
+
 func newStopPhase() *stopPhase {
 	p := &stopPhase{}
 	p.dispatch, p.endDispatch = context.WithCancel(context.Background())
@@ -66,13 +89,33 @@
 // begin starts the phases of a stop.
 func (p *stopPhase) begin(times *stopTimes) {
 	p.times.Store(times)
-	time.AfterFunc(time.Until(times.dispatch), p.endDispatch)
-	time.AfterFunc(time.Until(times.answer), func() {
-		p.endAnswer(errStopping)
-		time.AfterFunc(max(time.Until(times.stop), minAnswerTime), p.endStop)
+	time.AfterFunc(time.Until(times.dispatch), func() {
+		p.endDispatch()
+		p.answerWhenDue(times, times.dispatch, false)
 	})
 }
 
+// answerWhenDue ends the phase in which requests in progress may take their time. It was due at
+// dueAt; isSlow states whether a timer was late before.
+func (p *stopPhase) answerWhenDue(times *stopTimes, dueAt time.Time, isSlow bool) {
+	now := time.Now()
+	wait, isSlow := times.untilAnswer(now, dueAt, p.awaiting.Load(), isSlow)
+	if wait > 0 {
+		wait = min(wait, answerCheckPeriod)
+		time.AfterFunc(wait, func() { p.answerWhenDue(times, now.Add(wait), isSlow) })
+		return
+	}
+	p.endAnswer(errStopping)
+	time.AfterFunc(max(time.Until(times.stop), minAnswerTime), p.endStop)
+}
+
+// awaitAnswer counts a request that awaits its answer until begun is called, which may be called
+// again.
+func (p *stopPhase) awaitAnswer() (begun func()) {
+	p.awaiting.Add(1)
+	return sync.OnceFunc(func() { p.awaiting.Add(-1) })
+}
+
 // acceptEnded reports whether requests that have not been accepted are refused.
 func (p *stopPhase) acceptEnded() bool {
 	times := p.times.Load()
@@ -108,7 +151,7 @@
 }
 
 // answerTime returns how long before the end of a stop with the given limit the requests in
-// progress are answered.
-func answerTime(limit time.Duration) time.Duration {
-	return min(stopAnswerTime, time.Duration(maxAnswerFraction*float64(limit)))
+// progress are answered if so many of them take requestAnswerTime.
+func answerTime(limit time.Duration, slow int64) time.Duration {
+	return min(stopAnswerTime+time.Duration(slow)*requestAnswerTime, time.Duration(maxAnswerFraction*float64(limit)))
 }
--- a/gateway/stopphase_test.go
+++ b/gateway/stopphase_test.go
@@ -28,10 +28,42 @@
 	Convey("The answers are due before the end, and after the time for new work", t, func() {
 		for _, limit := range []time.Duration{0, 100 * time.Millisecond, time.Second, defaultStopLimit - stopMargin, time.Minute} {
 			times := newStopTimes(time.Now(), defaultBalancerGrace, limit)
-			So(times.stop.Sub(times.answer), ShouldEqual, min(stopAnswerTime, limit/3))
-			So(times.answer, ShouldHappenOnOrAfter, times.dispatch)
+			answer, _ := times.untilAnswer(times.stop, times.stop, 0, false)
+			So(-answer, ShouldEqual, min(stopAnswerTime, limit/3))
+			So(times.stop.Add(answer), ShouldHappenOnOrAfter, times.dispatch)
 		}
 	})
+	Convey("Each answer adds to their time in a process whose timers are late, within the last third", t, func() {
+		const limit = defaultStopLimit - stopMargin
+		times := newStopTimes(time.Now(), defaultBalancerGrace, limit)
+		for _, c := range []struct {
+			late            time.Duration
+			awaiting        int64
+			wasSlow, isSlow bool
+			before          time.Duration
+		}{
+			{0, 250, false, false, stopAnswerTime},
+			{maxTimerDelay, 250, false, false, stopAnswerTime},
+			{maxTimerDelay + 1, 250, false, true, stopAnswerTime + 250*requestAnswerTime},
+			{0, 250, true, true, stopAnswerTime + 250*requestAnswerTime},
+			{0, 0, true, true, stopAnswerTime},
+			{0, 1_000_000, true, true, answerTime(limit, 1_000_000)},
+		} {
+			answer, isSlow := times.untilAnswer(times.stop, times.stop.Add(-c.late), c.awaiting, c.wasSlow)
+			So(-answer, ShouldEqual, c.before)
+			So(isSlow, ShouldEqual, c.isSlow)
+			So(times.stop.Add(answer), ShouldHappenOnOrAfter, times.dispatch)
+		}
+	})
+	Convey("Requests count until their answer begins, once", t, func() {
+		p := newStopPhase()
+		begun := p.awaitAnswer()
+		p.awaitAnswer()
+		So(p.awaiting.Load(), ShouldEqual, 2)
+		begun()
+		begun()
+		So(p.awaiting.Load(), ShouldEqual, 1)
+	})
 	Convey("They get their time when they are due late", t, func() {
 		p := newStopPhase()
 		begunAt := time.Now()
