gateway: the copy for a planned switch is renewed before it expires

Cause: a migration makes one copy of the KV cache, which may be used for 4 s. If the switch is put off for longer, because the retry budget is empty, the source is held or no moment between two events is quiet, no usable copy is left, and the stream stays until its worker ends.

Ruled out as the whole cause: the copy's age alone. In the first 4 s no switch came either: the switch waits for 1.5 to 2 ms without data, which a stream with an event each ms may not have on a quiet machine.

Change: while the switch is put off, the copy is made again every 3 s; the engine sends only what is new.

--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -72,6 +72,8 @@
 	// copyTTL is how long after its completion a copy may be used. Engines keep
 	// copies for longer.
 	copyTTL = 4 * time.Second
+	// copyRenewalAge is the age at which a copy that has not been used is renewed.
+	copyRenewalAge = 3 * time.Second
 )
 
 // kvCopy is a complete copy of a request's KV cache that a migration made.
@@ -99,7 +101,8 @@
 // run waits until the target leaves. It then requests a switch to the backup
 // after switchDelay or, without a reliable backup, to a copy of the KV cache once
 // the copy is complete. The stream switches after its next event: the pause that
-// this causes between events is shorter than the pause when the target stops.
+// this causes between events is shorter than the pause when the target stops. A
+// stream may have to put the switch off, so the copy is renewed before it expires.
 // run returns when ctx ends at the latest.
 func (m *segmentMigration) run(ctx context.Context) {
 	select {
@@ -119,15 +122,16 @@
 		}
 		telemetry.Info(m.stream.g.opts.Logger, "backup unavailable", "request", m.stream.req.ID, "target", m.segment.target.ID, "backup", m.segment.backup.ID)
 	}
-	for m.copyKVCache(ctx) != nil {
-		if !sleep(ctx, migrationRetryDelay) {
-			return
+	defer m.freeUnusedCopy()
+	for ctx.Err() == nil {
+		wait := migrationRetryDelay
+		if m.copyKVCache(ctx) == nil {
+			m.prepareConn(ctx, m.copy.Load().target)
+			m.switchRequested.Store(true)
+			wait = copyRenewalAge
 		}
+		sleep(ctx, wait)
 	}
-	defer m.freeUnusedCopy()
-	m.prepareConn(ctx, m.copy.Load().target)
-	m.switchRequested.Store(true)
-	<-ctx.Done()
 }
 
 // prepareConn opens a connection to the target at which the request will
