gateway: answers that are due earlier in a slow process do not cut streams that have begun

Seen, by a trial of the review: a stopping gateway with little processor time and many calls in progress cuts its streams 1.8 s before the end of the stop, before the last sixth of the grace time, while their workers go on.

Cause: lets the answers be due 2 ms earlier for each request that awaits one, 0.4 to 2.6 s before the end. The context that ends then is that of all requests, also of the streams that have begun, which the number leaves out because an earlier cut would not help them.

Change: a request's context ends when the answers are due only if its answer has not begun, else at the time for the answers of an ordinary process. In the instant between the look at a stream and the end of its context it may still begin and be cut.

TestAnswersHaveTimeAtTheEndOfTheStop fails with the condition left out (stream cut 0.40 s too early). go test -race ./gateway twice, and of internal/soak TestHeldRequestsCrossStop, TestStalledStopAnswersCallsAtItsEnd and TestStarvedStopPassesOnNoLateStream with -race passed.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -37,9 +37,8 @@
 	arrivedAt       time.Time
 	// conn is the client's connection in the account of the process, nil if there is none.
 	conn *connguard.Conn
-	// answerBegun tells the stop of the process that the request awaits its answer no more.
-	// It is nil in requests that do not count there.
-	answerBegun func()
+	// wait ends when the answer begins. It is nil in requests that no stop awaits.
+	wait *answerWait
 	// deadline is the time by which the response must be complete.
 	deadline time.Time
 	// triedTargets holds the ids of the targets that were chosen for the request.
@@ -94,10 +93,10 @@
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	answerBegun := g.stopPhase.awaitAnswer()
-	defer answerBegun()
+	wait := g.stopPhase.awaitAnswer()
+	defer wait.end()
 	req, failure := g.admit(w, r)
-	req.answerBegun = answerBegun
+	req.wait = wait
 	defer req.releaseBody()
 	if failure != nil {
 		g.respondError(w, req, failure)
@@ -105,7 +104,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	defer cancel()
-	ctx, cancel = g.stopPhase.requestContext(ctx)
+	ctx, cancel = g.stopPhase.requestContext(ctx, wait)
 	defer cancel()
 	g.retryBudgets.countRequest(req.service.Name)
 	if req.route.Kind == routing.Stream {
--- a/gateway/stopphase.go
+++ b/gateway/stopphase.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,7 +22,8 @@
 	// stopAnswerTime is the time before the end of the stop at which the requests in
 	// progress are answered. It lets a process with little processor time write the answers.
 	// Such a process takes requestAnswerTime more for each request that awaits its answer. In
-	// all it is maxAnswerFraction of the limit at most.
+	// all it is maxAnswerFraction of the limit at most. Streams that have begun are cut
+	// stopAnswerTime before the end, also there.
 	stopAnswerTime    = 400 * time.Millisecond
 	requestAnswerTime = 2 * time.Millisecond
 	maxAnswerFraction = 1 - maxDispatchFraction
@@ -45,10 +45,10 @@
 type stopPhase struct {
 	times atomic.Pointer[stopTimes]
 	// awaiting is the number of requests whose answer has not begun.
-	awaiting               atomic.Int64
-	dispatch, answer, stop context.Context
-	endDispatch, endStop   context.CancelFunc
-	endAnswer              context.CancelCauseFunc
+	awaiting                         atomic.Int64
+	dispatch, answer, streams, stop  context.Context
+	endDispatch, endStreams, endStop context.CancelFunc
+	endAnswer                        context.CancelCauseFunc
 }
 
 // stopTimes holds the limit of a stop and the ends of its phases.
@@ -82,6 +82,7 @@
 	p := &stopPhase{}
 	p.dispatch, p.endDispatch = context.WithCancel(context.Background())
 	p.answer, p.endAnswer = context.WithCancelCause(context.Background())
+	p.streams, p.endStreams = context.WithCancel(context.Background())
 	p.stop, p.endStop = context.WithCancel(context.Background())
 	return p
 }
@@ -106,14 +107,31 @@
 		return
 	}
 	p.endAnswer(errStopping)
-	time.AfterFunc(max(time.Until(times.stop), minAnswerTime), p.endStop)
+	// An earlier cut of streams would not help the answers.
+	wait, _ = times.untilAnswer(now, now, 0, false)
+	time.AfterFunc(wait, func() {
+		p.endStreams()
+		time.AfterFunc(max(time.Until(times.stop), minAnswerTime), p.endStop)
+	})
+}
+
+// answerWait is the wait of a request for the begin of its answer.
+type answerWait struct {
+	phase *stopPhase
+	begun atomic.Bool
 }
 
-// awaitAnswer counts a request that awaits its answer until begun is called, which may be called
-// again.
-func (p *stopPhase) awaitAnswer() (begun func()) {
+// awaitAnswer counts a request that awaits its answer until the wait ends.
+func (p *stopPhase) awaitAnswer() *answerWait {
 	p.awaiting.Add(1)
-	return sync.OnceFunc(func() { p.awaiting.Add(-1) })
+	return &answerWait{phase: p}
+}
+
+// end records that the answer has begun. It may be called again, and on nil.
+func (a *answerWait) end() {
+	if a != nil && !a.begun.Swap(true) {
+		a.phase.awaiting.Add(-1)
+	}
 }
 
 // acceptEnded reports whether requests that have not been accepted are refused.
@@ -135,12 +153,19 @@
 }
 
 // requestContext returns a context for a request that ends with the cause errStopping when
-// the requests in progress must be answered. The caller must call cancel.
-func (p *stopPhase) requestContext(ctx context.Context) (_ context.Context, cancel context.CancelFunc) {
+// the requests in progress must be answered, or, if its answer has begun, when streams are cut.
+// The caller must call cancel.
+func (p *stopPhase) requestContext(ctx context.Context, wait *answerWait) (_ context.Context, cancel context.CancelFunc) {
 	ctx, cancelCause := context.WithCancelCause(ctx)
-	stop := context.AfterFunc(p.answer, func() { cancelCause(errStopping) })
+	stopAnswer := context.AfterFunc(p.answer, func() {
+		if !wait.begun.Load() {
+			cancelCause(errStopping)
+		}
+	})
+	stopStreams := context.AfterFunc(p.streams, func() { cancelCause(errStopping) })
 	return ctx, func() {
-		stop()
+		stopAnswer()
+		stopStreams()
 		cancelCause(nil)
 	}
 }
--- a/gateway/stopphase_test.go
+++ b/gateway/stopphase_test.go
@@ -57,13 +57,34 @@
 	})
 	Convey("Requests count until their answer begins, once", t, func() {
 		p := newStopPhase()
-		begun := p.awaitAnswer()
+		wait := p.awaitAnswer()
 		p.awaitAnswer()
 		So(p.awaiting.Load(), ShouldEqual, 2)
-		begun()
-		begun()
+		wait.end()
+		wait.end()
 		So(p.awaiting.Load(), ShouldEqual, 1)
 	})
+	Convey("They do not cut a stream that has begun earlier", t, func() {
+		const limit, requests = 3 * time.Second, 200
+		p := newStopPhase()
+		for range requests {
+			p.awaitAnswer()
+		}
+		awaiting, cancelAwaiting := p.requestContext(context.Background(), p.awaitAnswer())
+		defer cancelAwaiting()
+		wait := p.awaitAnswer()
+		wait.end()
+		stream, cancelStream := p.requestContext(context.Background(), wait)
+		defer cancelStream()
+		// The first timer is late.
+		times := newStopTimes(time.Now().Add(-limit*2/3-100*time.Millisecond), 0, limit)
+		p.begin(times)
+		<-awaiting.Done()
+		So(context.Cause(awaiting), ShouldEqual, errStopping)
+		<-stream.Done()
+		So(time.Now(), ShouldHappenOnOrAfter, times.stop.Add(-stopAnswerTime))
+		So(context.Cause(stream), ShouldEqual, errStopping)
+	})
 	Convey("They get their time when they are due late", t, func() {
 		p := newStopPhase()
 		begunAt := time.Now()
@@ -79,9 +100,9 @@
 func TestRequestContextEndsWithTheStop(t *testing.T) {
 	Convey("The end of the stop is the cause of a request's end", t, func() {
 		p := newStopPhase()
-		ended, cancelEnded := p.requestContext(context.Background())
+		ended, cancelEnded := p.requestContext(context.Background(), p.awaitAnswer())
 		cancelEnded()
-		active, cancel := p.requestContext(context.Background())
+		active, cancel := p.requestContext(context.Background(), p.awaitAnswer())
 		defer cancel()
 		p.begin(newStopTimes(time.Now(), 0, 0))
 		<-active.Done()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -479,9 +479,7 @@
 		return
 	}
 	s.headerSent = true
-	if s.req.answerBegun != nil {
-		s.req.answerBegun()
-	}
+	s.req.wait.end()
 	copyResponseHeader(s.w, resp)
 	s.w.WriteHeader(resp.StatusCode)
 	s.g.metrics.firstByte.Record(context.Background(), time.Since(s.req.arrivedAt).Seconds())
