entry: a test's engine notes the end of a completion before its agent does

TestGenerationIsReplacedOnceItsEngineHasStopped failed at times: one engine started the replacement although another one still ran the generation (1 where 0 are due).

Cause: a fault of the test. Its proxy noted the end after it had passed on the engine's confirmation. Mostly the response leaves only when the handler returns, after the note; but the proxy's flush timer, which runs at once, may send the response before. In a trace of three failed runs the replacement starts within 1 ms after the cancellation is forwarded, and before the proxy's call returns, in all 5 failures (cases failed, reset several times, not answered, confirmed). Ruled out by the same trace: a replacement before the engine got the cancellation.

Change: the proxy notes the end when the engine has confirmed it, before the agent gets the response. Assertions are unchanged. It is stricter at one point: a call that was given up before the engine answered no longer counts as the end.

--- a/entry/replaced_test.go
+++ b/entry/replaced_test.go
@@ -71,6 +71,13 @@
 	e := &faultyEngine{fleet: f}
 	proxy := httputil.NewSingleHostReverseProxy(target)
 	proxy.FlushInterval = -1
+	// The agent may act on the response before the handler returns, so the end is noted here.
+	proxy.ModifyResponse = func(resp *http.Response) error {
+		if resp.Request.Method == http.MethodDelete && resp.StatusCode == http.StatusOK {
+			e.running.Store(0)
+		}
+		return nil
+	}
 	e.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		isCompletion := strings.HasPrefix(r.URL.Path, "/v1/completions")
 		switch {
@@ -175,7 +182,6 @@
 	case noFault, resetAfter:
 	}
 	proxy.ServeHTTP(w, r)
-	e.running.Store(0)
 	if fault == resetAfter {
 		panic(http.ErrAbortHandler)
 	}
