platformtest: leases end, also through a restore

Cause: the leases of the fake of the platform's store lasted for ever, so no test could show what happens to the entry of a process that has ended.

Change: a lease that is not renewed ends after its time, its keys are deleted and watches get the deletions. Those of a copy run on with the time that they had left in it, those of the lost span are gone. StoreFaults.PauseLeases stops their time, since leases may pause or run while the store is away.

--- a/internal/platformtest/store.go
+++ b/internal/platformtest/store.go
@@ -37,6 +37,8 @@
 	// DropResponses makes the store execute POST calls and close the connection
 	// without a response.
 	DropResponses bool
+	// PauseLeases stops the time of all leases.
+	PauseLeases bool
 }
 
 // Store is a fake of the metadata store.
@@ -51,8 +53,8 @@
 	items     map[string]Item
 	// history holds the changes since the last compaction.
 	history []Item
-	// leases maps the id of each lease to its TTL. Leases do not expire.
-	leases map[int64]time.Duration
+	leases  map[int64]*lease
+	clock   leaseClock
 	// changed is closed and replaced when a key, the history or the faults change.
 	changed chan struct{}
 	faults  StoreFaults
@@ -68,7 +70,7 @@
 
 // NewStore starts an empty store.
 func NewStore() *Store {
-	s := &Store{revision: 1, items: map[string]Item{}, leases: map[int64]time.Duration{}, changed: make(chan struct{}), calls: map[string]int{}}
+	s := &Store{revision: 1, items: map[string]Item{}, leases: map[int64]*lease{}, clock: newLeaseClock(), changed: make(chan struct{}), calls: map[string]int{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/kv-key", s.get)
 	mux.HandleFunc("GET /v1/kv-range", s.list)
@@ -92,9 +94,10 @@
 
 // SetFaults replaces the simulated failures.
 func (s *Store) SetFaults(f StoreFaults) {
-	s.mu.Lock()
+	s.lock()
 	defer s.mu.Unlock()
 	s.faults = f
+	s.clock.setPaused(f.PauseLeases, time.Now())
 	s.notify()
 }
 
@@ -107,7 +110,7 @@
 
 // Put writes a key, as an operator or a worker does, and returns its revision.
 func (s *Store) Put(key string, value []byte) int64 {
-	s.mu.Lock()
+	s.lock()
 	defer s.mu.Unlock()
 	s.revision++
 	s.put(key, value, 0)
@@ -117,7 +120,7 @@
 
 // Delete removes a key.
 func (s *Store) Delete(key string) {
-	s.mu.Lock()
+	s.lock()
 	defer s.mu.Unlock()
 	s.revision++
 	s.remove(key)
@@ -126,7 +129,7 @@
 
 // Compact drops the history of changes.
 func (s *Store) Compact() {
-	s.mu.Lock()
+	s.lock()
 	defer s.mu.Unlock()
 	s.history = nil
 	s.compacted = s.revision
@@ -145,26 +148,28 @@
 	revision, compacted int64
 	items               map[string]Item
 	history             []Item
-	leases              map[int64]time.Duration
+	leases              map[int64]copiedLease
 }
 
 // Copy returns the store's state.
 func (s *Store) Copy() *StoreCopy {
-	s.mu.Lock()
+	s.lock()
 	defer s.mu.Unlock()
 	return &StoreCopy{
 		revision: s.revision, compacted: s.compacted,
-		items: maps.Clone(s.items), history: slices.Clone(s.history), leases: maps.Clone(s.leases),
+		items: maps.Clone(s.items), history: slices.Clone(s.history), leases: s.copyLeases(),
 	}
 }
 
 // Restore replaces the store's state by that of a copy and closes all connections. All
-// changes since then are lost, their revisions and leases are given out again. If the
-// responses state an era, it rises by one.
+// changes since then are lost, their revisions and leases are given out again. The leases of
+// the copy run on with the time that they had left in it. If the responses state an era, it
+// rises by one.
 func (s *Store) Restore(c *StoreCopy) {
 	s.mu.Lock()
 	s.revision, s.compacted = c.revision, c.compacted
-	s.items, s.history, s.leases = maps.Clone(c.items), slices.Clone(c.history), maps.Clone(c.leases)
+	s.items, s.history = maps.Clone(c.items), slices.Clone(c.history)
+	s.restoreLeases(c.leases)
 	if s.era > 0 {
 		s.era++
 	}
@@ -175,21 +180,13 @@
 
 // Items returns the items under a prefix by key.
 func (s *Store) Items(prefix string) map[string]Item {
-	s.mu.Lock()
+	s.lock()
 	defer s.mu.Unlock()
 	out := maps.Clone(s.items)
 	maps.DeleteFunc(out, func(key string, _ Item) bool { return !strings.HasPrefix(key, prefix) })
 	return out
 }
 
-// HasLease reports whether a lease exists.
-func (s *Store) HasLease(id int64) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	_, ok := s.leases[id]
-	return ok
-}
-
 // put writes a key at the current revision. The caller holds s.mu.
 func (s *Store) put(key string, value []byte, lease int64) {
 	item := Item{Key: key, Value: value, Revision: s.revision, Created: s.revision, Lease: lease}
@@ -249,7 +246,7 @@
 }
 
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
+	s.lock()
 	defer s.mu.Unlock()
 	s.stateEra(w)
 	item, ok := s.items[r.URL.Query().Get("key")]
@@ -261,7 +258,7 @@
 }
 
 func (s *Store) list(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
+	s.lock()
 	defer s.mu.Unlock()
 	s.stateEra(w)
 	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
@@ -283,7 +280,8 @@
 	wait, _ := strconv.Atoi(q.Get("wait_ms"))
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
-		s.mu.Lock()
+		s.lock()
+		leaseEnd := time.After(s.untilLeaseEnd())
 		events, revision, changed, isGone := s.changesAfter(q.Get("prefix"), after), s.revision, s.changed, after < s.compacted || after > s.revision
 		s.stateEra(w)
 		s.mu.Unlock()
@@ -297,6 +295,7 @@
 		}
 		select {
 		case <-changed:
+		case <-leaseEnd:
 		case <-timeout:
 			respond(w, http.StatusOK, map[string]any{"events": []Item{}, "as_of": revision})
 			return
@@ -326,7 +325,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	s.mu.Lock()
+	s.lock()
 	defer s.mu.Unlock()
 	s.stateEra(w)
 	var current []Item
@@ -342,7 +341,7 @@
 		return
 	}
 	for _, p := range body.Puts {
-		if _, ok := s.leases[p.Lease]; p.Lease != 0 && !ok {
+		if s.leases[p.Lease] == nil && p.Lease != 0 {
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
@@ -357,48 +356,3 @@
 	s.notify()
 	respond(w, http.StatusOK, map[string]any{"revision": s.revision})
 }
-
-func (s *Store) grant(w http.ResponseWriter, r *http.Request) {
-	var body struct {
-		TTL int64 `json:"ttl_ms"`
-	}
-	if json.NewDecoder(r.Body).Decode(&body) != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.stateEra(w)
-	s.revision++
-	s.leases[s.revision] = time.Duration(body.TTL) * time.Millisecond
-	respond(w, http.StatusOK, map[string]any{"lease": s.revision, "ttl_ms": body.TTL})
-}
-
-func (s *Store) keepAlive(w http.ResponseWriter, r *http.Request) {
-	id, _ := strconv.ParseInt(r.PathValue("id"), 10, 64)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.stateEra(w)
-	ttl, ok := s.leases[id]
-	if !ok {
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	respond(w, http.StatusOK, map[string]any{"ttl_ms": ttl.Milliseconds()})
-}
-
-func (s *Store) revoke(w http.ResponseWriter, r *http.Request) {
-	id, _ := strconv.ParseInt(r.PathValue("id"), 10, 64)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.stateEra(w)
-	delete(s.leases, id)
-	s.revision++
-	for key, item := range s.items {
-		if item.Lease == id {
-			s.remove(key)
-		}
-	}
-	s.notify()
-	respond(w, http.StatusOK, map[string]any{})
-}
