feed: a process whose lease of the copy ends after a restore stays a member until it can have registered

Seen: after a restore of the store, the other processes drop a live one whose lease in the copy has less time left than it takes to register again (up to 2 s, as registrations are spread), for example if its last renewals before the copy had failed. Until it is back they count one process less, so that their shares of the retry reserve and of the requests to cold targets are larger.

Cause: a registration that is missing after a restore was kept for the time of a lease; one that is listed and whose lease of the copy then ends was dropped at once.

Change: a registration that ends within the time of a lease after a restore is from before it, since those of after it last longer. Its process is kept like one whose registration is missing.

--- a/feed/members.go
+++ b/feed/members.go
@@ -50,7 +50,10 @@
 	// keptUntil holds the times until which processes are kept whose registrations a restore
 	// of the store has lost, by key.
 	keptUntil map[string]time.Time
-	restores  kvstore.RestoreDetector
+	// restoredUntil is the time until which a registration that ends may be of before the last
+	// restore; its owner may not have registered again yet.
+	restoredUntil time.Time
+	restores      kvstore.RestoreDetector
 	// restored wakes Serve after a restore of the store.
 	restored chan struct{}
 	// listedSince is when this process was first in members without a break, zero if it is
@@ -75,6 +78,9 @@
 	now := time.Now()
 	r.expireKept(now)
 	isRestored := r.restores.Reset(position)
+	if isRestored {
+		r.restoredUntil = now.Add(leaseTTL)
+	}
 	before := r.members
 	r.members = map[string]Member{}
 	for i := range kvs {
@@ -85,7 +91,7 @@
 			continue
 		}
 		if isRestored {
-			r.keptUntil[key] = now.Add(leaseTTL)
+			r.keptUntil[key] = r.restoredUntil
 		}
 		if _, kept := r.keptUntil[key]; kept {
 			r.members[key] = m
@@ -117,11 +123,12 @@
 func (r *MemberRegistry) Apply(batch kvstore.WatchBatch) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := time.Now()
+	r.expireKept(now)
 	for i := range batch.Events {
 		e := &batch.Events[i]
 		if e.Deleted {
-			delete(r.members, e.KV.Key)
-			delete(r.keptUntil, e.KV.Key)
+			r.remove(e.KV.Key, now)
 			continue
 		}
 		r.put(&e.KV)
@@ -129,6 +136,18 @@
 	r.updateListed()
 }
 
+// remove removes a process whose registration has ended. If it may have been of before a
+// restore, another process is kept for as long as it may take to register again. Callers hold
+// the lock.
+func (r *MemberRegistry) remove(key string, now time.Time) {
+	if m, ok := r.members[key]; ok && m.Name != r.self.Name && now.Before(r.restoredUntil) {
+		r.keptUntil[key] = r.restoredUntil
+		return
+	}
+	delete(r.members, key)
+	delete(r.keptUntil, key)
+}
+
 // updateListed updates listedSince. Callers hold the lock.
 func (r *MemberRegistry) updateListed() {
 	if _, listed := r.members[MemberPrefix+r.self.Name]; !listed {
