platformtest: a crashed worker keeps its port until it is closed

TestPartThatCrashesWorkersIsQuarantined waited 20 s in vain for "the crash is recorded in the store". A fault of the stand-in, not of the product.

Cause: a worker crashes by closing its listener, and the port is free from then on. Another process got it within the 150 ms before the gateway's probe, which then connects, so that there is no crash to record. A run that looked up the port when the probe connected shows it: the worker's listener ended at 00:07:11.114; at 11.265 the probe connected, and a listener with two connections that were not this process's stood at the port. Ports were scarce: the system had 128,000 sockets of load tests. That the others of these failures had the same cause is likely, not shown.

Ruled out: the request had run and the gateway had seen its failure (log lines of 11 such runs of 560 with 8 copies at once); the target did not count as leaving (the same run).

Change: before the listener of a crashed worker closes, a socket that does not listen is bound to its port; the system refuses connections there until the worker is closed. Listeners of the package share their port (SO_REUSEPORT) for this.

--- a/internal/platformtest/early.go
+++ b/internal/platformtest/early.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"crypto/tls"
 	"io"
 	"net"
@@ -10,8 +9,6 @@
 	"strings"
 	"syscall"
 	"time"
-
-	"github.com/cockroachdb/errors"
 )
 
 // ConnEnd is how a server ends a connection.
@@ -65,18 +62,9 @@
 // ListenEarly returns a listener on an ephemeral port of the loopback interface whose
 // connections have a small receive window. The system would receive most of a body otherwise.
 func ListenEarly() net.Listener {
-	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		var sockoptErr error
-		err := raw.Control(func(fd uintptr) {
-			sockoptErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, earlyReceiveBuffer)
-		})
-		return errors.Join(err, sockoptErr)
-	}}
-	l, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
-	return l
+	return listen(func(fd uintptr) error {
+		return syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, earlyReceiveBuffer)
+	})
 }
 
 // EarlyPart is a body, or a part of one.
--- a/internal/platformtest/worker.go
+++ b/internal/platformtest/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -11,7 +12,11 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 // WorkerFault defines how a worker fails on one request.
@@ -155,7 +160,10 @@
 	freed     []string
 	closed    chan struct{}
 	closeOnce sync.Once
-	active    int
+	// crashOnce guards releasePort, which is set once the worker has crashed.
+	crashOnce   sync.Once
+	releasePort func()
+	active      int
 	// crashBody is the request body that makes the worker crash, if not empty.
 	crashBody string
 	// crashPart is the ID of the part of a prompt that makes the worker crash, if not
@@ -282,6 +290,19 @@
 	w.closeOnce.Do(func() { close(w.closed) })
 	w.server.CloseClientConnections()
 	w.server.Close()
+	w.crashOnce.Do(func() {})
+	if w.releasePort != nil {
+		w.releasePort()
+	}
+}
+
+// crash stops accepting connections. The worker's port stays taken until Close: the system
+// could give it to another process, which would accept connections in place of the worker.
+func (w *Worker) crash() {
+	w.crashOnce.Do(func() {
+		w.releasePort = holdPort(w.server.Listener.Addr().(*net.TCPAddr))
+		_ = w.server.Listener.Close()
+	})
 }
 
 // CloseConnections closes the worker's connections, as at the end of its idle timeout.
@@ -704,7 +725,7 @@
 		w.hang(r, f)
 	}
 	if w.crashesOn(r, body) {
-		_ = w.server.Listener.Close()
+		w.crash()
 		panic(http.ErrAbortHandler)
 	}
 	if f.BreakBeforeResponse {
@@ -780,7 +801,7 @@
 			_, _ = fmt.Fprintf(rw, "id: %d\ndata: half", i)
 			_ = controller.Flush()
 			if f.Crash {
-				_ = w.server.Listener.Close()
+				w.crash()
 			}
 			w.abandon(run, end, w.Events-i)
 			panic(http.ErrAbortHandler)
@@ -1015,10 +1036,37 @@
 }
 
 // NewListener returns a listener on an ephemeral port of the loopback interface.
-func NewListener() net.Listener {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func NewListener() net.Listener { return listen(func(uintptr) error { return nil }) }
+
+// listen returns a listener on an ephemeral port that holdPort can hold. setOptions sets further
+// options of its socket.
+func listen(setOptions func(fd uintptr) error) net.Listener {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var sockoptErr error
+		err := raw.Control(func(fd uintptr) {
+			sockoptErr = errors.Join(unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1), setOptions(fd))
+		})
+		return errors.Join(err, sockoptErr)
+	}}
+	l, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		panic(err)
 	}
 	return l
 }
+
+// holdPort takes the port of a listener of this package as well, without accepting connections: the
+// system refuses them once the listener is closed. release frees the port.
+func holdPort(addr *net.TCPAddr) (release func()) {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		panic(err)
+	}
+	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1); err != nil {
+		panic(err)
+	}
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Port: addr.Port, Addr: [4]byte(addr.IP.To4())}); err != nil {
+		panic(err)
+	}
+	return func() { _ = unix.Close(fd) }
+}
