soak: drills of the store with entries that end by leases

Cause: in the drills of the soak the operator removed again what a copy had brought back, so no entry ended by itself, and no gateway was frozen until its registration had ended.

Change: TestLeasedDrillSoak, a second kind of drill: workers write their entries each second under leases of three, some write no more without a word, nobody removes an entry of the copy, leases run on or pause while the store is away. Rule DRAIN: a worker gets no request once its entry must have ended, also in a copy, for longer than a change may take. TestRestoredStoreWithProcesses has two gateways more that are frozen for 12 s through a drill. TestDrillSoak is as before.

--- a/internal/soak/drill_test.go
+++ b/internal/soak/drill_test.go
@@ -28,6 +28,10 @@
 	firstDrill  = 2 * time.Second
 	drillPeriod = 11 * time.Second
 	settleTime  = rewriteTime + changeLimit
+	// entryPeriod is the time between two writes of a worker whose entry is leased; the entry
+	// ends after three of them without a write.
+	entryPeriod = time.Second
+	entryTTL    = 3 * entryPeriod
 )
 
 // lostBursts are numbers of writes that follow each other just before a drill. Without them,
@@ -45,8 +49,12 @@
 	rewrites   map[string][]time.Time
 	configured map[int]time.Time
 	left       map[string]time.Time
-	copies     []timedCopy
-	outages    []outage
+	// silent holds the times at which workers wrote their leased entries for the last time.
+	silent  map[string]time.Time
+	copies  []timedCopy
+	outages []outage
+	// leased makes the entries of workers end by leases. isAway is set while they can't write.
+	leased, isAway bool
 }
 
 type timedCopy struct {
@@ -59,7 +67,7 @@
 type outage struct{ from, lostUntil, to time.Time }
 
 func newDrills() *drills {
-	return &drills{values: map[string][]byte{}, rewrites: map[string][]time.Time{}, configured: map[int]time.Time{}, left: map[string]time.Time{}}
+	return &drills{values: map[string][]byte{}, rewrites: map[string][]time.Time{}, configured: map[int]time.Time{}, left: map[string]time.Time{}, silent: map[string]time.Time{}}
 }
 
 // put writes a key as the operator or a worker does, remove removes it.
@@ -67,9 +75,51 @@
 	f.drills.mu.Lock()
 	defer f.drills.mu.Unlock()
 	f.drills.values[key] = value
+	f.write(key, value)
+}
+
+// write writes a key, that of a worker under a lease if entries are leased. The caller holds
+// the lock of the drills.
+func (f *fleet) write(key string, value []byte) {
+	if f.drills.leased && strings.HasPrefix(key, platform.TargetPrefix) {
+		f.store.PutForTime(key, value, entryTTL)
+		return
+	}
 	f.store.Put(key, value)
 }
 
+// keepEntries writes the entries of the workers again and again until the end.
+func (f *fleet) keepEntries(end time.Time) {
+	d := f.drills
+	for ; time.Now().Before(end); time.Sleep(entryPeriod) {
+		d.mu.Lock()
+		for key, value := range d.values {
+			if value != nil && !d.isAway && strings.HasPrefix(key, platform.TargetPrefix) {
+				f.write(key, value)
+			}
+		}
+		d.mu.Unlock()
+	}
+}
+
+// silenceWorker lets one worker write its entry no more, and starts another one in its place.
+// It serves on until the run ends.
+func (f *fleet) silenceWorker() {
+	f.mu.Lock()
+	var w *plainWorker
+	for _, w = range f.workers {
+		break
+	}
+	delete(f.workers, w.id)
+	f.mu.Unlock()
+	f.note("worker %s writes no more", w.id)
+	f.addWorker(w.service)
+	f.drills.mu.Lock()
+	defer f.drills.mu.Unlock()
+	f.drills.values[platform.TargetPrefix+w.id] = nil
+	f.drills.silent[w.id] = time.Now()
+}
+
 func (f *fleet) remove(key string) {
 	f.drills.mu.Lock()
 	defer f.drills.mu.Unlock()
@@ -82,12 +132,17 @@
 	d := f.drills
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if value := d.values[key]; value != nil {
-		f.store.Put(key, value)
-	} else {
+	at := time.Now()
+	switch value := d.values[key]; {
+	case value != nil:
+		f.write(key, value)
+	case d.leased:
+		// Nobody removes an entry that the copy has brought back: it ends by its lease.
+		at = at.Add(entryTTL)
+	default:
 		f.store.Delete(key)
 	}
-	d.rewrites[key] = append(d.rewrites[key], time.Now())
+	d.rewrites[key] = append(d.rewrites[key], at)
 }
 
 // keepCopies copies the store until the end.
@@ -136,8 +191,9 @@
 	time.Sleep(time.Duration(random.Int64N(int64(maxAway))))
 	away := minAway + time.Duration(random.Int64N(int64(maxAway-minAway)))
 	f.note("store away for %v, comes back from a copy %v old, %d more writes lost", away, time.Since(c.at), burst)
+	d.setAway(true)
 	o := outage{from: time.Now()}
-	f.store.SetFaults(platformtest.StoreFaults{ServiceUnavailable: true})
+	f.store.SetFaults(platformtest.StoreFaults{ServiceUnavailable: true, PauseLeases: d.leased && random.IntN(2) == 0})
 	time.Sleep(away / 2)
 	d.mu.Lock()
 	f.store.Restore(c.state)
@@ -151,6 +207,7 @@
 	time.Sleep(away / 2)
 	f.store.SetFaults(platformtest.StoreFaults{})
 	o.to = time.Now()
+	d.setAway(false)
 	d.mu.Lock()
 	d.outages = append(d.outages, o)
 	d.mu.Unlock()
@@ -160,6 +217,24 @@
 	}
 }
 
+func (d *drills) setAway(isAway bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.isAway = isAway
+}
+
+// isGone reports whether a worker whose last write was made at a time must be gone for a
+// gateway when a request is sent. A copy may bring its entry back with all of its time.
+func (d *drills) isGone(lastWrite, sentAt time.Time) bool {
+	ended := lastWrite.Add(entryTTL)
+	for _, o := range d.outages {
+		if back := o.to.Add(entryTTL); o.from.Before(sentAt) && back.After(ended) {
+			ended = back
+		}
+	}
+	return sentAt.After(ended.Add(changeLimit))
+}
+
 // inForce reports whether a change to a key that was written at a time must be in force when
 // a request is sent.
 func (d *drills) inForce(key string, writtenAt, sentAt time.Time) bool {
@@ -231,6 +306,9 @@
 			if at, ok := d.left[a.worker]; ok && d.inForce(platform.TargetPrefix+a.worker, at, e.startedAt) {
 				findings = append(findings, finding{"DRAIN", fmt.Sprintf("%s at %s reached %s, whose leaving was written %.1f s before", e.id, e.gateway.name, a.worker, e.startedAt.Sub(at).Seconds()), e})
 			}
+			if at, ok := d.silent[a.worker]; ok && d.isGone(at, e.startedAt) {
+				findings = append(findings, finding{"DRAIN", fmt.Sprintf("%s at %s reached %s, which wrote its entry for the last time %.1f s before", e.id, e.gateway.name, a.worker, e.startedAt.Sub(at).Seconds()), e})
+			}
 		}
 	}
 	return findings
@@ -257,6 +335,20 @@
 func TestDrillSoak(t *testing.T) {
 	for i := range max(1, *seedCount/2) {
 		seed := *firstSeed + uint64(i)
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { runSoak(t, seed, drillKinds, true) })
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { runSoak(t, seed, drillKinds, drillMode{drills: true}) })
 	}
 }
+
+// TestLeasedDrillSoak is like TestDrillSoak with entries of workers that end by their leases, and
+// with workers that end without a word.
+func TestLeasedDrillSoak(t *testing.T) {
+	for i := range max(1, *seedCount/2) {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			runSoak(t, seed, drillKinds+",silence,silence,silence", drillMode{drills: true, leased: true})
+		})
+	}
+}
+
+// drillMode says whether a run has drills of the store, and entries that end by leases.
+type drillMode struct{ drills, leased bool }
--- a/internal/soak/restore_test.go
+++ b/internal/soak/restore_test.go
@@ -655,8 +655,11 @@
 	}
 }
 
-// restoredWhileFrozen makes the store lose writes while a gateway is frozen.
-func restoredWhileFrozen(leads bool) func(*disrupted) {
+// overLease is a time after which the registration of a gateway has ended.
+const overLease = 12 * time.Second
+
+// restoredWhileFrozen makes the store lose writes while a gateway is frozen for some time.
+func restoredWhileFrozen(leads bool, d time.Duration) func(*disrupted) {
 	return func(f *disrupted) {
 		earlier := f.store.Copy()
 		f.lose(11)
@@ -665,7 +668,7 @@
 		if !leads {
 			frozen = reader
 		}
-		f.freeze(frozen, 2*time.Second)
+		f.freeze(frozen, d)
 		time.Sleep(250 * time.Millisecond)
 		f.away(earlier)
 	}
@@ -691,8 +694,10 @@
 	}
 	return append(out,
 		disruption{name: "H1 copy 20 s old", begin: restored(40, 20*time.Second), byHand: true},
-		disruption{name: "H1 leader frozen meanwhile", begin: restoredWhileFrozen(true)},
-		disruption{name: "H1 reader frozen meanwhile", begin: restoredWhileFrozen(false)},
+		disruption{name: "H1 leader frozen meanwhile", begin: restoredWhileFrozen(true, 2*time.Second)},
+		disruption{name: "H1 reader frozen meanwhile", begin: restoredWhileFrozen(false, 2*time.Second)},
+		disruption{name: "H1 leader frozen until its registration has ended", begin: restoredWhileFrozen(true, overLease)},
+		disruption{name: "H1 reader frozen until its registration has ended", begin: restoredWhileFrozen(false, overLease)},
 		disruption{name: "H1 during a change of the configuration", begin: restoredWhileConfigured},
 	)
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -226,6 +226,8 @@
 		g.signal(syscall.SIGKILL)
 	case "leave":
 		f.replaceWorker()
+	case "silence":
+		f.silenceWorker()
 	case "store":
 		f.failStore()
 	case "limits":
@@ -303,7 +305,7 @@
 func TestSoak(t *testing.T) {
 	for i := range *seedCount {
 		seed := *firstSeed + uint64(i)
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { runSoak(t, seed, *kinds, false) })
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { runSoak(t, seed, *kinds, drillMode{}) })
 	}
 }
 
@@ -312,11 +314,14 @@
 
 // runSoak runs one seed with the given kinds of disturbances, and with drills of the store
 // if they are asked for.
-func runSoak(t *testing.T, seed uint64, kinds string, drills bool) {
-	f := newFleet(t, seed, *gateways)
+func runSoak(t *testing.T, seed uint64, kinds string, mode drillMode) {
+	f := newFleet(t, seed, *gateways, func(f *fleet) { f.drills.leased = mode.leased })
 	f.versionRoutes = true
 	end := time.Now().Add(*duration)
-	if drills {
+	if mode.leased {
+		go f.keepEntries(end)
+	}
+	if mode.drills {
 		f.store.SetEra(1)
 		go f.keepCopies(end)
 		go f.runDrills(rand.New(rand.NewPCG(seed, 1<<32)), end)
