feed: a test's follower starts once its leader has a state

TestFollowerReadsLeader failed at times: the follower read the store 5 or 6 times where 0 are due.

Cause: a fault of the test. It started both at once. If the follower asked first, the leader's state counted as stale, since it had none, and the follower read the store until the leader was due again, as the package says.

Change: the test waits for the leader's first version before it starts the follower. Assertions are unchanged.

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -255,11 +255,11 @@
 		store := newFakeStore()
 		store.put("config/current", "1")
 		leader := startNode(t, store, "leader", func() Members { return fixedMembers{} })
+		// A follower reads the store if its leader has no state yet.
+		eventually(t, "the leader has the first version", func() bool { return leader.recorder.value("config/current") == "1" })
 		followerStore := clone(store)
 		follower := startNode(t, followerStore, "follower", func() Members { return fixedMembers{leader: &leader.member, others: []Member{leader.member}} })
-		eventually(t, "both processes have the first version", func() bool {
-			return leader.recorder.value("config/current") == "1" && follower.recorder.value("config/current") == "1"
-		})
+		eventually(t, "the follower has the first version", func() bool { return follower.recorder.value("config/current") == "1" })
 		for i := 2; i < 6; i++ {
 			version := fmt.Sprint(i)
 			store.put("config/current", version)
