gateway: a stop whose signal came in a stall counts from the begin of the stall

Seen, by a trial of the review: a gateway that gets no processor time for 0.6 s and more while SIGTERM comes passes on streams that are sent later than 3 s after it and is killed with its calls unanswered.

The times of the stop count from the instant at which the process sees the signal, the time to its kill from the signal.

Ruled out: to ask the system when the signal came, which it does not record. To count from the begin of any stall: if the signal came at its end, answers would be due before the last sixth of the stop.

Change: a service notes each 50 ms that the process runs. A stop that begins within 0.2 s after a gap of 0.2 s and more counts from the begin of the gap, as far as requests keep five sixths of the stop: 0.76 s of 8 s.

The set-up of TestStalledStopAnswersCallsAtItsEnd is now shared; it checks what it did.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -127,6 +127,7 @@
 	metrics        *metrics
 	stopping       atomic.Bool
 	stopPhase      *stopPhase
+	stalls         stallWatch
 	slowdowns      slowdowns
 	retryBudgets   retryBudgets
 	responseBuffer *bufferlimit.Limit
@@ -233,6 +234,7 @@
 	supervisor.Add(g.quarantine)
 	supervisor.Add(g.parts)
 	supervisor.Add(&idlePruner{pool: g.connPool})
+	supervisor.Add(&g.stalls)
 	if g.opts.SidecarWatcher != nil {
 		supervisor.Add(&loadCollector{g: g, watcher: g.opts.SidecarWatcher, port: g.opts.SidecarPort})
 	}
@@ -258,7 +260,7 @@
 // for BalancerGrace, or less in a short stop, and then waits for active requests. Those
 // that are still active at the end get an answer.
 func (g *Gateway) stop(frontend *frontend) {
-	startedAt := time.Now()
+	startedAt := g.stalls.signalTime(time.Now(), g.opts.DrainLimit)
 	times := newStopTimes(startedAt, g.opts.BalancerGrace, g.opts.DrainLimit)
 	g.stopPhase.begin(times)
 	g.stopping.Store(true)
--- a/internal/soak/stopquota_test.go
+++ b/internal/soak/stopquota_test.go
@@ -143,6 +143,19 @@
 // TestStalledStopAnswersCallsAtItsEnd guards against a stop that cuts off calls without an answer
 // at its end, because the process got no processor time when their answers were due.
 func TestStalledStopAnswersCallsAtItsEnd(t *testing.T) {
+	f, g := newSilentFleet(t)
+	errs := f.sendSilentCalls(g, silentCalls)
+	stopAt := time.Now()
+	g.signal(syscall.SIGTERM)
+	time.Sleep(time.Until(stopAt.Add(endStallOffset)))
+	g.stall(endStallTime)
+	if unanswered := countErrors(t, errs, silentCalls); unanswered > 0 {
+		t.Errorf("%d of %d calls got no whole answer", unanswered, silentCalls)
+	}
+}
+
+// newSilentFleet returns a fleet with one gateway whose workers do not answer calls in a stop.
+func newSilentFleet(t *testing.T) (*fleet, *gateway) {
 	f := newFleet(t, 1, 0)
 	f.configure(func(c object) {
 		for _, r := range c["routes"].([]object) {
@@ -155,37 +168,102 @@
 	g := startGateway(t, "edge", f.store.Addr())
 	f.gateways = append(f.gateways, g)
 	f.awaitReady(g)
-	errs := make(chan error, silentCalls)
-	for n := range silentCalls {
+	return f, g
+}
+
+// sendSilentCalls sends calls and waits until workers have them. The channel gets an error for
+// each, nil for one that the end of the stop answers.
+func (f *fleet) sendSilentCalls(g *gateway, count int) <-chan error {
+	errs := make(chan error, count)
+	for n := range count {
 		c, err := net.DialTimeout("tcp", g.front, connectTimeout)
 		if err != nil {
-			t.Fatal(err)
+			f.t.Fatal(err)
 		}
-		defer func() { _ = c.Close() }()
+		f.t.Cleanup(func() { _ = c.Close() })
 		_, err = fmt.Fprintf(c, "POST /book/%d HTTP/1.1\r\nHost: %s\r\nX-Request-Id: silent-%d\r\nX-Key: %s\r\nX-Deadline-Ms: %d\r\nContent-Length: 0\r\n\r\n",
 			n, hostname, n, apiKey, silentCallTime.Milliseconds())
 		if err != nil {
-			t.Fatal(err)
+			f.t.Fatal(err)
 		}
 		go func() { errs <- awaitStatus(c, http.StatusBadGateway) }()
 	}
-	for f.log.count() < silentCalls {
+	for f.log.count() < count {
 		time.Sleep(time.Millisecond)
 	}
-	stopAt := time.Now()
-	g.signal(syscall.SIGTERM)
-	time.Sleep(time.Until(stopAt.Add(endStallOffset)))
-	g.stall(endStallTime)
-	unanswered := 0
-	for range silentCalls {
+	return errs
+}
+
+// countErrors receives the results of so many calls and returns the number of errors.
+func countErrors(t *testing.T, errs <-chan error, count int) (failed int) {
+	for range count {
 		if err := <-errs; err != nil {
-			unanswered++
+			failed++
 			t.Log(err)
 		}
 	}
-	if unanswered > 0 {
+	return failed
+}
+
+// A stall in which SIGTERM comes, and the streams that are sent in the stop.
+const (
+	signalStallBefore = 50 * time.Millisecond
+	signalStallAfter  = 900 * time.Millisecond
+	firstSignalStream = 2 * time.Second
+	signalStreams     = 50
+	signalStreamStep  = 40 * time.Millisecond
+)
+
+// signalStreamAt returns when the stream with the given number is sent, measured from SIGTERM.
+func signalStreamAt(n int) time.Duration {
+	return firstSignalStream + time.Duration(n)*signalStreamStep
+}
+
+// TestStallOverSigtermDelaysNoStop guards against a stop that counts its time from when it sees
+// SIGTERM, after a stall: it takes streams too late, and the process is killed before it has answered.
+func TestStallOverSigtermDelaysNoStop(t *testing.T) {
+	f, g := newSilentFleet(t)
+	for _, w := range f.workers {
+		w.events = func() int { return lateStreamEvents }
+	}
+	errs := f.sendSilentCalls(g, silentCalls)
+	clients := make([]*client, signalStreams)
+	for n := range clients {
+		clients[n] = &client{number: n, gateways: f.gateways, random: rand.New(rand.NewPCG(1, uint64(n))), streams: 1}
+		// The others open their connections late.
+		if signalStreamAt(n) < lateSigterm && !clients[n].connect() {
+			t.Fatal("no connection before the stop")
+		}
+	}
+	exited := g.exit()
+	var wg sync.WaitGroup
+	wg.Go(func() { g.stall(signalStallBefore + signalStallAfter) })
+	time.Sleep(signalStallBefore)
+	stopAt := time.Now()
+	g.signal(syscall.SIGTERM)
+	recorded := make(chan exchange, signalStreams)
+	for n, c := range clients {
+		wg.Go(func() {
+			time.Sleep(time.Until(stopAt.Add(signalStreamAt(n))))
+			select {
+			case <-exited:
+			default:
+				c.exchangeOnce(recorded)
+			}
+		})
+	}
+	if unanswered := countErrors(t, errs, silentCalls); unanswered > 0 {
 		t.Errorf("%d of %d calls got no whole answer", unanswered, silentCalls)
 	}
+	wg.Wait()
+	close(recorded)
+	var exchanges []exchange
+	for e := range recorded {
+		exchanges = append(exchanges, e)
+	}
+	f.checkLateStreams(exchanges, stopAt)
+	<-exited
+	report(t, f, exchanges)
 }
 
 // awaitStatus reads a whole response with the given status.
