feed: a process knows the era of the store before it asks for its first lease

Seen: a process that registers for the first time while the store is restored may write its entry under a lease that belongs to another process since, and then renew that one.

Cause: before its first answer from the store, a process does not know the era. It took the one that was known after the grant, which may be later than that of the lease.

Change: a process that knows no era reads its key first, a read for each registration with a store that states no era. If the store is restored before the write, the write is refused and the process registers anew.

Runs: TestFirstRegistrationThroughARestore fails without the change ("registered under lease 2 of another process"), passes with it. go test -race ./feed 3 of 3.

--- a/feed/lease_test.go
+++ b/feed/lease_test.go
@@ -236,3 +236,51 @@
 	waitFor(t, "the lease has ended", waitLimit, func() bool { return !isRegistered(store, "other") })
 	waitFor(t, "the other is no member", time.Second, func() bool { return !self.knows("other") })
 }
+
+// restoringStore is a client whose first granted lease is lost by a restore before the client
+// can use it, and granted to another process.
+type restoringStore struct {
+	*platform.Store
+	server  *platformtest.Store
+	earlier *platformtest.StoreCopy
+	// lost is the lost lease, 0 before.
+	lost int64
+}
+
+// Grant implements kvstore.Store.
+func (s *restoringStore) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
+	id, err := s.Store.Grant(ctx, ttl)
+	if err != nil || s.lost != 0 {
+		return id, err
+	}
+	s.lost = id
+	s.server.Restore(s.earlier)
+	for other := newClient(s.server); !s.server.HasLease(id); {
+		if _, err := other.Grant(ctx, time.Hour); err != nil {
+			return 0, err
+		}
+	}
+	// The restore shows in another response before the lease is used.
+	_, err = s.Get(ctx, "k")
+	return id, err
+}
+
+// TestFirstRegistrationThroughARestore guards against a process that registers for the first time
+// while the store is restored, under a lease that belongs to another process.
+func TestFirstRegistrationThroughARestore(t *testing.T) {
+	t.Parallel()
+	server := platformtest.NewStore()
+	t.Cleanup(server.Close)
+	server.SetEra(1)
+	client := &restoringStore{Store: newClient(server), server: server, earlier: server.Copy()}
+	registry := feed.NewMemberRegistry(memberOf("self"), client, log.NewNopLogger())
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	defer done.Wait()
+	defer cancel()
+	done.Go(func() { _ = registry.Serve(ctx) })
+	waitFor(t, "the process is registered", registerLimit, func() bool { return isRegistered(server, "self") })
+	if lease := server.Items(feed.MemberPrefix)[feed.MemberPrefix+"self"].Lease; lease == client.lost {
+		t.Fatalf("registered under lease %d of another process", lease)
+	}
+}
--- a/feed/members.go
+++ b/feed/members.go
@@ -349,20 +349,24 @@
 		}
 	}
 	*lease = grantedLease{}
-	era := r.store.Era()
+	key, era := MemberPrefix+r.self.Name, r.store.Era()
+	if era == 0 {
+		// The first response states the era. It must be known before the grant: the store
+		// may be restored between the grant and the write.
+		if _, err := r.store.Get(ctx, key); err != nil {
+			return err
+		}
+		era = r.store.Era()
+	}
 	granted, err := r.store.Grant(ctx, leaseTTL)
 	if err != nil {
 		return err
 	}
-	if era == 0 {
-		// The first response states the era.
-		era = r.store.Era()
-	}
 	value, err := json.Marshal(r.self)
 	if err != nil {
 		return errors.Wrap(err, "encode member")
 	}
-	put := kvstore.Op{Key: MemberPrefix + r.self.Name, Value: value, Lease: granted}
+	put := kvstore.Op{Key: key, Value: value, Lease: granted}
 	if _, err := r.store.Commit(ctx, kvstore.Txn{Era: era, Ops: []kvstore.Op{put}}); err != nil {
 		return err
 	}
