gateway: a single late timer does not make the answers of a stop due earlier

Seen, by the review: one timer late by 20 ms in the last third of a stop made a sound process take its answers for slow for good, so that 1,000 calls in progress were answered 2 s early, with 502 in place of their worker's answer.

Change: the answers are taken for slow once 4 timers, and a quarter of all, were late. A process with 30 of 100 ms has as many after 0.4 s.

--- a/gateway/stopphase.go
+++ b/gateway/stopphase.go
@@ -27,10 +27,13 @@
 	stopAnswerTime    = 400 * time.Millisecond
 	requestAnswerTime = 2 * time.Millisecond
 	maxAnswerFraction = 1 - maxDispatchFraction
-	// A process gets little processor time if a timer of answerCheckPeriod is late by more than
-	// maxTimerDelay. Quotas of processor time hold for periods of 100 ms.
+	// A process gets little processor time if a part of its timers of answerCheckPeriod, and
+	// not single ones, are late by more than maxTimerDelay. Quotas of processor time hold for
+	// periods of 100 ms.
 	answerCheckPeriod = 50 * time.Millisecond
 	maxTimerDelay     = 20 * time.Millisecond
+	minLateTimers     = 4
+	minLateFraction   = 1.0 / 4
 	// minAnswerTime is the time for these answers in a process that did not run when they
 	// were due.
 	minAnswerTime = 100 * time.Millisecond
@@ -67,15 +70,26 @@
 	}
 }
 
-// untilAnswer returns how long after now the given number of requests must be answered, and
-// whether the process gets little processor time: a timer that was due at dueAt runs now, or
-// wasSlow.
-func (t *stopTimes) untilAnswer(now, dueAt time.Time, awaiting int64, wasSlow bool) (wait time.Duration, isSlow bool) {
-	isSlow = wasSlow || now.Sub(dueAt) > maxTimerDelay
-	if !isSlow {
-		awaiting = 0
+// timerCount counts timers and those of them that were late.
+type timerCount struct{ all, late int }
+
+// add counts a timer that was due at dueAt and runs now.
+func (c *timerCount) add(now, dueAt time.Time) {
+	c.all++
+	if now.Sub(dueAt) > maxTimerDelay {
+		c.late++
 	}
-	return t.stop.Add(-answerTime(t.limit, awaiting)).Sub(now), isSlow
+}
+
+// isSlow reports whether the process gets little processor time.
+func (c *timerCount) isSlow() bool {
+	return c.late >= minLateTimers && float64(c.late) >= minLateFraction*float64(c.all)
+}
+
+// untilAnswer returns how long after now the requests in progress must be answered if so many of
+// them take requestAnswerTime.
+func (t *stopTimes) untilAnswer(now time.Time, slow int64) time.Duration {
+	return t.stop.Add(-answerTime(t.limit, slow)).Sub(now)
 }
 
 func newStopPhase() *stopPhase {
@@ -92,24 +106,26 @@
 	p.times.Store(times)
 	time.AfterFunc(time.Until(times.dispatch), func() {
 		p.endDispatch()
-		p.answerWhenDue(times, times.dispatch, false)
+		p.answerWhenDue(times, times.dispatch, timerCount{})
 	})
 }
 
 // answerWhenDue ends the phase in which requests in progress may take their time. It was due at
-// dueAt; isSlow states whether a timer was late before.
-func (p *stopPhase) answerWhenDue(times *stopTimes, dueAt time.Time, isSlow bool) {
+// dueAt; timers counts those before it.
+func (p *stopPhase) answerWhenDue(times *stopTimes, dueAt time.Time, timers timerCount) {
 	now := time.Now()
-	wait, isSlow := times.untilAnswer(now, dueAt, p.awaiting.Load(), isSlow)
-	if wait > 0 {
-		wait = min(wait, answerCheckPeriod)
-		time.AfterFunc(wait, func() { p.answerWhenDue(times, now.Add(wait), isSlow) })
+	timers.add(now, dueAt)
+	slow := int64(0)
+	if timers.isSlow() {
+		slow = p.awaiting.Load()
+	}
+	if wait := min(times.untilAnswer(now, slow), answerCheckPeriod); wait > 0 {
+		time.AfterFunc(wait, func() { p.answerWhenDue(times, now.Add(wait), timers) })
 		return
 	}
 	p.endAnswer(errStopping)
 	// An earlier cut of streams would not help the answers.
-	wait, _ = times.untilAnswer(now, now, 0, false)
-	time.AfterFunc(wait, func() {
+	time.AfterFunc(times.untilAnswer(now, 0), func() {
 		p.endStreams()
 		time.AfterFunc(max(time.Until(times.stop), minAnswerTime), p.endStop)
 	})
