claim: a test's processes have leases before the store's faults begin

TestClaimsAreLinearizable failed at times: 240 operations, all uncertain, so that no Put won.

Cause: a fault of the test. After a failed grant of a lease, all Puts fail at once with its error until the backoff has passed, which lets a client make all its 30 steps in less than a millisecond. If this happens to all 8 clients, no step reaches the store. It needs their first grants to meet a fault: one that aborts calls (the first is due 30 ms after the start) or a delay over the 150 ms that the test allows for a Put. In a trace of a failed run all 8 first grants exceeded their deadline, and the other steps looked at returned the same error within 12 us. The guess, that one fault lasts for the whole run, is ruled out by that run: the injector set 18 faults in it.

Change: the test obtains the leases before the faults begin, as a run without delay does at present.

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -99,9 +99,16 @@
 	var history []porcupine.Operation
 	stop := make(chan struct{})
 	var injector, workers sync.WaitGroup
+	registries := make([]*Registry, clients)
+	for client := range registries {
+		registries[client] = newTestRegistry(t, server.URL, BatchOptions{WritesPerSecond: 2000, MaxBatchSize: 1 + client%4*8})
+		// After a failed grant all Puts fail at once for a time, which may cover all steps.
+		if _, err := registries[client].leases.current(t.Context(), time.Now()); err != nil {
+			t.Fatal(err)
+		}
+	}
 	injector.Go(func() { injectFaults(store, stop) })
-	for client := range clients {
-		registry := newTestRegistry(t, server.URL, BatchOptions{WritesPerSecond: 2000, MaxBatchSize: 1 + client%4*8})
+	for client, registry := range registries {
 		workers.Go(func() {
 			rnd := rand.New(rand.NewPCG(7, uint64(client)))
 			lastRead := map[string]*Claim{}
