feed: a test sees the age of the state that it waited for

TestSlowLinkDeliversState failed once: the large state had arrived, but the age of the reader's state was 259 ms, where over 1 s is due.

Cause: a fault of the test. The age is that of the latest read. A read without changes follows the transfer and ends 0.4 s later; if the test looks after that, it sees the age of this read. Ruled out by a trace: a transfer that was too quick; the ages in the traces kept, of 9 runs, are 3.22 to 3.24 s.

Change: the reader's requests after the large state wait until the test has looked. The assertion is unchanged.

--- a/feed/transfer_test.go
+++ b/feed/transfer_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,6 +50,45 @@
 	largeStateBytes       = 600 << 10
 )
 
+// heldTransport holds back the requests after a large state until release is closed.
+type heldTransport struct {
+	http.RoundTripper
+	isReceived atomic.Bool
+	release    chan struct{}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (h *heldTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	if h.isReceived.Load() {
+		select {
+		case <-h.release:
+		case <-r.Context().Done():
+			return nil, r.Context().Err()
+		}
+	}
+	resp, err := h.RoundTripper.RoundTrip(r)
+	if err == nil {
+		resp.Body = &countedBody{ReadCloser: resp.Body, transport: h}
+	}
+	return resp, err
+}
+
+// countedBody notes when the transport has received a large state.
+type countedBody struct {
+	io.ReadCloser
+	transport *heldTransport
+	bytes     int
+}
+
+// Read implements io.Reader.
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if b.bytes += n; b.bytes >= largeStateBytes {
+		b.transport.isReceived.Store(true)
+	}
+	return n, err
+}
+
 // TestSlowLinkDeliversState guards against a reader that never receives a new state
 // because each transfer takes longer than a time limit, is dropped and starts again.
 func TestSlowLinkDeliversState(t *testing.T) {
@@ -55,6 +97,10 @@
 		store.put("config/current", "1")
 		source := startNode(t, store, "source", func() Members { return fixedMembers{} })
 		client := httpclient.New(httpclient.Options{Dial: wan.ThrottledDialer(slowLinkBitsPerSecond)})
+		// A further read would renew the age before the test has seen it.
+		held := &heldTransport{RoundTripper: client.Transport, release: make(chan struct{})}
+		client.Transport = held
+		defer close(held.release)
 		unreachable := newFakeStore()
 		unreachable.setRejectReads(true)
 		reader := startNodeWithClient(t, unreachable, "reader", func() Members {
