feed: a test's process always has a source besides the failed store

TestFailedStoreIsProbed failed at times: the store was read 2 or 3 times before a probe succeeded, where 1 is due.

Cause: a fault of the test. If all sources have failed, the one that failed first is read again, as the package says, and the store had failed first. This happened in two ways: - The only other process had no state yet when the reader asked, so it counted as stale: 2 reads.

Change: there are three other processes, and the test waits for their states. The list of members is copied at each call, since the source reorders it. Assertions are unchanged.

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -184,7 +185,7 @@
 
 func (f fixedMembers) Name() string     { return f.name }
 func (f fixedMembers) Leader() *Member  { return f.leader }
-func (f fixedMembers) Others() []Member { return f.others }
+func (f fixedMembers) Others() []Member { return slices.Clone(f.others) }
 
 // node is a process that follows the store through the feed.
 type node struct {
@@ -338,10 +339,17 @@
 	convey.Convey("A failed store is probed, and read only after a probe succeeded", t, func() {
 		store := newFakeStore()
 		store.put("config/current", "1")
-		other := startNode(t, store, "other", func() Members { return fixedMembers{name: "other"} })
+		// If all sources have failed, the one that failed first is read again. So the other processes
+		// have states before, and are several: a late response counts as a failure.
+		var others []Member
+		for _, name := range []string{"a", "b", "c"} {
+			other := startNode(t, store, name, func() Members { return fixedMembers{name: name} })
+			eventually(t, "process "+name+" has the first version", func() bool { return other.recorder.value("config/current") == "1" })
+			others = append(others, other.member)
+		}
 		rejecting := clone(store)
 		rejecting.setRejectReads(true)
-		n := startNode(t, rejecting, "n", func() Members { return fixedMembers{name: "n", others: []Member{other.member}} })
+		n := startNode(t, rejecting, "n", func() Members { return fixedMembers{name: "n", others: others} })
 		probes := func() int {
 			rejecting.mu.Lock()
 			defer rejecting.mu.Unlock()
