soak: leased entries are written again while the gateways start

Cause: in TestLeasedDrillSoak workers wrote their entries again only once all gateways were ready.

Change: the entries are written again from before the start to the end of the test.

--- a/internal/soak/drill_test.go
+++ b/internal/soak/drill_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -88,10 +89,10 @@
 	f.store.Put(key, value)
 }
 
-// keepEntries writes the entries of the workers again and again until the end.
-func (f *fleet) keepEntries(end time.Time) {
+// keepEntries writes the entries of the workers again and again until ctx ends.
+func (f *fleet) keepEntries(ctx context.Context) {
 	d := f.drills
-	for ; time.Now().Before(end); time.Sleep(entryPeriod) {
+	for ; ctx.Err() == nil; time.Sleep(entryPeriod) {
 		d.mu.Lock()
 		for key, value := range d.values {
 			if value != nil && !d.isAway && strings.HasPrefix(key, platform.TargetPrefix) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -74,6 +74,10 @@
 		option(f)
 	}
 	f.configure(func(object) {})
+	if f.drills.leased {
+		// Before the gateways start, which may take longer than a lease.
+		go f.keepEntries(t.Context())
+	}
 	for range 3 {
 		f.addWorker(callService)
 		if f.engines == nil {
@@ -318,9 +322,6 @@
 	f := newFleet(t, seed, *gateways, func(f *fleet) { f.drills.leased = mode.leased })
 	f.versionRoutes = true
 	end := time.Now().Add(*duration)
-	if mode.leased {
-		go f.keepEntries(end)
-	}
 	if mode.drills {
 		f.store.SetEra(1)
 		go f.keepCopies(end)
