--- a/entry/stopphase.go
+++ b/entry/stopphase.go
@@ -97,5 +97,5 @@
 	}
 }
 
-// isStopping reports whether a request's context has ended since the stop ends.
+// isStopping reports whether a request's context has ended because the stop ends.
 func isStopping(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errStopping) }
--- a/feed/lease_test.go
+++ b/feed/lease_test.go
@@ -27,7 +27,7 @@
 	waitLimit     = 20 * time.Second
 )
 
-// process is a registered process. Its stop ends it without a word to the store.
+// process is a registered process. Its stop ends it without a call to the store.
 type process struct {
 	registry *feed.MemberRegistry
 	client   *platform.Store
--- a/internal/soak/drill_test.go
+++ b/internal/soak/drill_test.go
@@ -341,7 +341,7 @@
 }
 
 // TestLeasedDrillSoak is like TestDrillSoak with entries of workers that end by their leases, and
-// with workers that end without a word.
+// with workers that stop writing their entries.
 func TestLeasedDrillSoak(t *testing.T) {
 	for i := range max(1, *seedCount/2) {
 		seed := *firstSeed + uint64(i)
